--- /dev/null
+++ b/src/adapters/http/connection.rs
@@ -0,0 +1,383 @@
+//! A connection with bounded, deadline-bound reads.
+
+use std::{
+    io,
+    os::fd::{AsRawFd, BorrowedFd},
+    time::{Duration, Instant},
+};
+
+use {
+    bytes::{Bytes, BytesMut},
+    http::{
+        HeaderMap,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
+    monoio::{
+        io::{
+            AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf,
+            OwnedWriteHalf, Splitable,
+        },
+        net::TcpStream,
+    },
+    monoio_codec::{Decoded, Decoder},
+    monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, DecodeError},
+    snafu::Snafu,
+    socket2::SockRef,
+};
+
+/// Bytes asked for by one read.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Bytes that the kernel buffers for the remote end of a connection.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Longest time for which an answer may wait for a remote end to read it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a message could not be read or written.
+#[derive(Debug, Snafu)]
+pub enum HttpFault {
+    /// The remote end closed the connection between two messages.
+    #[snafu(display("connection closed"))]
+    Closed,
+    /// The remote end closed the connection inside a message.
+    #[snafu(display("connection closed inside a message"))]
+    Truncated,
+    /// The deadline of the message passed.
+    #[snafu(display("timed out"))]
+    TimedOut,
+    /// The head is larger than the limit.
+    #[snafu(display("head larger than {limit} bytes"))]
+    HeadTooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The body is larger than the limit.
+    #[snafu(display("body larger than {limit} bytes"))]
+    BodyTooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The bytes are not a valid message.
+    #[snafu(display("malformed message: {reason}"))]
+    Malformed {
+        /// What is wrong with the message.
+        reason: String,
+    },
+    /// The socket failed.
+    #[snafu(display("socket: {source}"))]
+    Socket {
+        /// The error of the socket.
+        source: io::Error,
+    },
+}
+
+impl From<io::Error> for HttpFault {
+    fn from(source: io::Error) -> HttpFault {
+        HttpFault::Socket { source }
+    }
+}
+
+impl From<DecodeError> for HttpFault {
+    fn from(err: DecodeError) -> HttpFault {
+        HttpFault::Malformed { reason: err.to_string() }
+    }
+}
+
+/// How much of one message may arrive, and in what time.
+#[derive(Clone, Copy, Debug)]
+pub struct MessageLimits {
+    /// Largest head in bytes.
+    pub head_bytes: usize,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Longest time from the first byte to the last one.
+    pub message_time: Duration,
+}
+
+impl MessageLimits {
+    /// Creates limits with a 16 KiB head, a 1 MiB body and 10 s.
+    pub fn new() -> MessageLimits {
+        MessageLimits {
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            message_time: Duration::from_secs(10),
+        }
+    }
+
+    /// Sets the largest body in bytes.
+    pub fn with_body_bytes(mut self, bytes: usize) -> MessageLimits {
+        self.body_bytes = bytes;
+        self
+    }
+
+    /// Sets the longest time for a whole message.
+    pub fn with_message_time(mut self, time: Duration) -> MessageLimits {
+        self.message_time = time;
+        self
+    }
+}
+
+impl Default for MessageLimits {
+    fn default() -> MessageLimits {
+        MessageLimits::new()
+    }
+}
+
+/// How the length of a body is given by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyLength {
+    /// No length at all.
+    Absent,
+    /// A `Content-Length` header.
+    Fixed(usize),
+    /// Chunked transfer encoding.
+    Chunked,
+}
+
+/// The read half of a connection with what was read ahead.
+pub(super) struct BoundedReader {
+    read: OwnedReadHalf<TcpStream>,
+    buffer: BytesMut,
+}
+
+/// A TCP connection that carries HTTP/1.1 messages.
+pub struct HttpConnection {
+    pub(super) reader: BoundedReader,
+    pub(super) writer: OwnedWriteHalf<TcpStream>,
+}
+
+impl HttpConnection {
+    /// Creates a connection over an open socket.
+    pub fn new(stream: TcpStream) -> HttpConnection {
+        // Small events must leave at once. A socket that refuses the option
+        // still works, only slower.
+        let _ = stream.set_nodelay(true);
+        // What the kernel buffers for a slow reader is memory of this VM.
+        // SAFETY: the stream is open for as long as the borrow lives.
+        let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+        let socket = SockRef::from(&fd);
+        let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        let (read, writer) = stream.into_split();
+        let reader = BoundedReader { read, buffer: BytesMut::new() };
+        HttpConnection { reader, writer }
+    }
+}
+
+impl BoundedReader {
+    /// Waits until a first byte of the next message is there.
+    ///
+    /// # Errors
+    ///
+    /// `Closed` if the remote end closed the connection, `TimedOut` after
+    /// `idle`.
+    pub(super) async fn wait_readable(
+        &mut self,
+        idle: Duration,
+    ) -> Result<(), HttpFault> {
+        if !self.buffer.is_empty() {
+            return Ok(());
+        }
+        match self.fill(Instant::now() + idle).await {
+            Err(HttpFault::Truncated) => Err(HttpFault::Closed),
+            other => other,
+        }
+    }
+
+    /// Waits until the remote end closes the connection.
+    ///
+    /// Bytes that arrive meanwhile are kept, up to `limit` of them. With the
+    /// limit reached the future stays pending, since the next message may
+    /// be anything.
+    pub(super) async fn wait_closed(&mut self, limit: usize) {
+        loop {
+            if self.buffer.len() >= limit {
+                std::future::pending::<()>().await;
+            }
+            let chunk = BytesMut::with_capacity(READ_SIZE);
+            let (read, chunk) = self.read.read(chunk).await;
+            match read {
+                Ok(0) | Err(_) => return,
+                Ok(_) => self.buffer.extend_from_slice(&chunk),
+            }
+        }
+    }
+
+    async fn fill(&mut self, deadline: Instant) -> Result<(), HttpFault> {
+        let wait = deadline.saturating_duration_since(Instant::now());
+        let chunk = BytesMut::with_capacity(READ_SIZE);
+        let read = monoio::time::timeout(wait, self.read.read(chunk)).await;
+        let Ok((read, chunk)) = read else {
+            return Err(HttpFault::TimedOut);
+        };
+        if read? == 0 {
+            return Err(HttpFault::Truncated);
+        }
+        if self.buffer.is_empty() {
+            self.buffer = chunk;
+            return Ok(());
+        }
+        self.buffer.extend_from_slice(&chunk);
+        Ok(())
+    }
+
+    /// Reads one head.
+    pub(super) async fn read_head<D>(
+        &mut self,
+        mut decoder: D,
+        limits: &MessageLimits,
+        deadline: Instant,
+    ) -> Result<D::Item, HttpFault>
+    where
+        D: Decoder<Error = DecodeError>,
+    {
+        loop {
+            // The decoder looks only for the end of the head, so the bound
+            // is checked on the bytes in front of that end.
+            let end = find_head_end(&self.buffer);
+            let head_bytes = end.unwrap_or(self.buffer.len());
+            if head_bytes > limits.head_bytes {
+                let limit = limits.head_bytes;
+                return Err(HttpFault::HeadTooLarge { limit });
+            }
+            if let Decoded::Some(head) = decoder.decode(&mut self.buffer)? {
+                return Ok(head);
+            }
+            if end.is_some() {
+                let reason = "incomplete head".to_owned();
+                return Err(HttpFault::Malformed { reason });
+            }
+            self.fill(deadline).await?;
+        }
+    }
+
+    /// Reads a body of known length.
+    pub(super) async fn read_fixed(
+        &mut self,
+        length: usize,
+        limits: &MessageLimits,
+        deadline: Instant,
+    ) -> Result<Bytes, HttpFault> {
+        if length > limits.body_bytes {
+            let limit = limits.body_bytes;
+            return Err(HttpFault::BodyTooLarge { limit });
+        }
+        while self.buffer.len() < length {
+            self.fill(deadline).await?;
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    /// Reads the next chunk of a chunked body; `None` after the last one.
+    pub(super) async fn read_chunk(
+        &mut self,
+        decoder: &mut ChunkedBodyDecoder,
+        limits: &MessageLimits,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        loop {
+            if let Decoded::Some(chunk) = decoder.decode(&mut self.buffer)? {
+                return Ok(chunk);
+            }
+            // The decoder buffers a chunk whole, whatever size it declares.
+            if self.buffer.len() > limits.body_bytes {
+                let limit = limits.body_bytes;
+                return Err(HttpFault::BodyTooLarge { limit });
+            }
+            self.fill(deadline).await?;
+        }
+    }
+
+    /// Reads a whole body.
+    pub(super) async fn read_body(
+        &mut self,
+        length: BodyLength,
+        limits: &MessageLimits,
+        deadline: Instant,
+    ) -> Result<Bytes, HttpFault> {
+        match length {
+            BodyLength::Absent => return Ok(Bytes::new()),
+            BodyLength::Fixed(length) => {
+                return self.read_fixed(length, limits, deadline).await;
+            }
+            BodyLength::Chunked => {}
+        }
+        let mut decoder = ChunkedBodyDecoder::default();
+        let mut body = BytesMut::new();
+        loop {
+            let chunk = self.read_chunk(&mut decoder, limits, deadline);
+            let Some(chunk) = chunk.await? else {
+                return Ok(body.freeze());
+            };
+            if body.len() + chunk.len() > limits.body_bytes {
+                let limit = limits.body_bytes;
+                return Err(HttpFault::BodyTooLarge { limit });
+            }
+            body.extend_from_slice(&chunk);
+        }
+    }
+}
+
+fn find_head_end(buffer: &[u8]) -> Option<usize> {
+    buffer.windows(4).position(|window| window == b"\r\n\r\n")
+}
+
+/// Reads how the length of a body is given.
+///
+/// # Errors
+///
+/// `Malformed` if the length is given twice or in two ways, because two
+/// implementations could then disagree on where the message ends.
+pub(super) fn body_length(
+    headers: &HeaderMap,
+) -> Result<BodyLength, HttpFault> {
+    let malformed =
+        |reason: &str| Err(HttpFault::Malformed { reason: reason.to_owned() });
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if lengths.next().is_some() {
+        return malformed("two Content-Length headers");
+    }
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let encoding = encodings.next();
+    if encodings.next().is_some() {
+        return malformed("two Transfer-Encoding headers");
+    }
+    match (length, encoding) {
+        (Some(_), Some(_)) => {
+            malformed("Content-Length beside Transfer-Encoding")
+        }
+        (None, None) => Ok(BodyLength::Absent),
+        (None, Some(value)) => {
+            if !value.as_bytes().eq_ignore_ascii_case(b"chunked") {
+                return malformed("unsupported Transfer-Encoding");
+            }
+            Ok(BodyLength::Chunked)
+        }
+        (Some(value), None) => {
+            let digits = value.as_bytes();
+            let decimal = digits.iter().all(u8::is_ascii_digit);
+            let parsed = value.to_str().ok().and_then(|s| s.parse().ok());
+            match parsed {
+                Some(length) if decimal => Ok(BodyLength::Fixed(length)),
+                _ => malformed("invalid Content-Length"),
+            }
+        }
+    }
+}
+
+/// Writes all bytes to a connection within [`WRITE_TIMEOUT`].
+pub(super) async fn write_all(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    bytes: Bytes,
+) -> Result<(), HttpFault> {
+    let write = writer.write_all(bytes);
+    match monoio::time::timeout(WRITE_TIMEOUT, write).await {
+        Err(_) => Err(HttpFault::TimedOut),
+        Ok((written, _)) => {
+            written?;
+            writer.flush().await?;
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/http/server.rs
@@ -0,0 +1,171 @@
+//! The serving side of a connection.
+
+use std::time::{Duration, Instant};
+
+use {
+    bytes::{BufMut, Bytes, BytesMut},
+    http::{Response, header::CONNECTION, request},
+    monoio::{io::OwnedWriteHalf, net::TcpStream},
+    monoio_http::h1::codec::decoder::RequestHeadDecoder,
+};
+
+use super::{
+    HttpConnection, HttpFault, MessageLimits,
+    connection::{BoundedReader, body_length, write_all},
+    encode::{LAST_CHUNK, encode_message, encode_stream_head, payload_of},
+};
+
+/// Bytes of a following request that are kept while one is served.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// A request that has arrived in full.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// Method, URI and headers.
+    pub head: request::Parts,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl HttpRequest {
+    /// The value of a header, if it is present and printable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// The path of the URI, without the query.
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    /// Whether the connection stays open after this request.
+    pub fn keeps_alive(&self) -> bool {
+        let closes = self.header("connection");
+        let closes = closes.is_some_and(|v| v.eq_ignore_ascii_case("close"));
+        self.head.version == http::Version::HTTP_11 && !closes
+    }
+}
+
+/// Reads the requests of one connection.
+pub struct RequestReader {
+    reader: BoundedReader,
+    limits: MessageLimits,
+}
+
+/// Writes the responses of one connection.
+pub struct HttpResponder {
+    writer: OwnedWriteHalf<TcpStream>,
+    begun: bool,
+}
+
+impl HttpConnection {
+    /// Splits the connection into its serving halves.
+    pub fn into_server(
+        self,
+        limits: MessageLimits,
+    ) -> (RequestReader, HttpResponder) {
+        let reader = RequestReader { reader: self.reader, limits };
+        let responder = HttpResponder { writer: self.writer, begun: false };
+        (reader, responder)
+    }
+}
+
+impl RequestReader {
+    /// Reads the next request, waiting for its first byte for `idle`.
+    ///
+    /// # Errors
+    ///
+    /// `Closed` or `TimedOut` between two requests end the connection
+    /// without an answer. Every other fault deserves one.
+    pub async fn next_request(
+        &mut self,
+        idle: Duration,
+    ) -> Result<HttpRequest, HttpFault> {
+        match self.reader.wait_readable(idle).await {
+            Err(HttpFault::TimedOut) => return Err(HttpFault::Closed),
+            other => other?,
+        }
+        let deadline = Instant::now() + self.limits.message_time;
+        let decoder = RequestHeadDecoder;
+        let head = self.reader.read_head(decoder, &self.limits, deadline);
+        let head = head.await?;
+        let length = body_length(&head.headers)?;
+        let body = self.reader.read_body(length, &self.limits, deadline);
+        let body = body.await?;
+        Ok(HttpRequest { head, body })
+    }
+
+    /// Completes when the caller closes its connection.
+    pub async fn wait_closed(&mut self) {
+        self.reader.wait_closed(READ_AHEAD_BYTES).await
+    }
+}
+
+impl HttpResponder {
+    /// Whether a response has begun to leave.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Makes the responder ready for the next request.
+    pub fn reset(&mut self) {
+        self.begun = false;
+    }
+
+    /// Sends a whole response.
+    pub async fn send(
+        &mut self,
+        response: Response<Bytes>,
+    ) -> Result<(), HttpFault> {
+        self.begun = true;
+        let message = response.map(payload_of);
+        let encoded = encode_message(message).await?;
+        write_all(&mut self.writer, encoded).await
+    }
+
+    /// Sends a whole response and announces the end of the connection.
+    pub async fn send_last(
+        &mut self,
+        mut response: Response<Bytes>,
+    ) -> Result<(), HttpFault> {
+        let value = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, value);
+        self.send(response).await
+    }
+
+    /// Sends the head of a chunked response.
+    pub async fn start_stream(
+        &mut self,
+        head: Response<()>,
+    ) -> Result<StreamWriter<'_>, HttpFault> {
+        self.begun = true;
+        let encoded = encode_stream_head(head).await?;
+        write_all(&mut self.writer, encoded).await?;
+        Ok(StreamWriter { writer: &mut self.writer })
+    }
+}
+
+/// Writes the chunks of one response, each flushed at once.
+pub struct StreamWriter<'a> {
+    writer: &'a mut OwnedWriteHalf<TcpStream>,
+}
+
+impl StreamWriter<'_> {
+    /// Sends one chunk.
+    pub async fn send(&mut self, data: &[u8]) -> Result<(), HttpFault> {
+        // An empty chunk would end the body.
+        if data.is_empty() {
+            return Ok(());
+        }
+        let mut frame = BytesMut::with_capacity(data.len() + 16);
+        frame.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        frame.put_slice(data);
+        frame.put_slice(b"\r\n");
+        write_all(self.writer, frame.freeze()).await
+    }
+
+    /// Sends the last chunk.
+    pub async fn finish(self) -> Result<(), HttpFault> {
+        write_all(self.writer, Bytes::from_static(LAST_CHUNK)).await
+    }
+}
--- /dev/null
+++ b/src/adapters/peer/convert.rs
@@ -0,0 +1,260 @@
+//! Conversions between the messages of the port and those of the wire.
+
+use {
+    super::generated as wire,
+    crate::{
+        domain::{BillId, HolderId, PortionId},
+        ports::{
+            ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
+            LendRequest, MemberNews, MemberStatus, NewerState, PingMessage,
+            RelayBatch, RelayedBill,
+        },
+    },
+};
+
+const STATUSES: [MemberStatus; 4] = [
+    MemberStatus::Alive,
+    MemberStatus::Suspect,
+    MemberStatus::Leaving,
+    MemberStatus::Dead,
+];
+
+impl From<HolderId> for wire::Holder {
+    fn from(id: HolderId) -> wire::Holder {
+        wire::Holder { vm: id.vm, incarnation: id.incarnation }
+    }
+}
+
+impl From<wire::Holder> for HolderId {
+    fn from(holder: wire::Holder) -> HolderId {
+        HolderId::new(holder.vm, holder.incarnation)
+    }
+}
+
+impl From<LendRequest> for wire::LendCall {
+    fn from(request: LendRequest) -> wire::LendCall {
+        wire::LendCall {
+            budget: request.budget,
+            to: Some(request.to.into()),
+            least: request.least,
+            want: request.want,
+        }
+    }
+}
+
+impl From<wire::LendCall> for LendRequest {
+    fn from(call: wire::LendCall) -> LendRequest {
+        LendRequest {
+            budget: call.budget,
+            to: call.to.unwrap_or_default().into(),
+            least: call.least,
+            want: call.want,
+        }
+    }
+}
+
+impl From<Option<LendReply>> for wire::LendAnswer {
+    fn from(reply: Option<LendReply>) -> wire::LendAnswer {
+        let Some(reply) = reply else {
+            return wire::LendAnswer::default();
+        };
+        wire::LendAnswer {
+            grant: reply.portion.grant,
+            number: reply.portion.number,
+            tokens: reply.tokens,
+        }
+    }
+}
+
+impl From<wire::LendAnswer> for Option<LendReply> {
+    fn from(answer: wire::LendAnswer) -> Option<LendReply> {
+        if answer.tokens == 0 {
+            return None;
+        }
+        let portion = PortionId::new(answer.grant, answer.number);
+        Some(LendReply { portion, tokens: answer.tokens })
+    }
+}
+
+impl From<RelayBatch> for wire::RelayCall {
+    fn from(batch: RelayBatch) -> wire::RelayCall {
+        let mut bills = Vec::with_capacity(batch.bills.len());
+        for bill in batch.bills {
+            bills.push(wire::Bill {
+                grant: bill.bill.portion.grant,
+                portion: bill.bill.portion.number,
+                number: bill.bill.number,
+                budget: bill.budget,
+                request_id: bill.request_id,
+                upstream: bill.upstream.to_string(),
+                tokens: bill.tokens,
+            });
+        }
+        wire::RelayCall { holder: Some(batch.holder.into()), bills }
+    }
+}
+
+impl From<wire::RelayCall> for RelayBatch {
+    fn from(call: wire::RelayCall) -> RelayBatch {
+        let mut bills = Vec::with_capacity(call.bills.len());
+        for bill in call.bills {
+            // A bill without a usable address cannot be recovered.
+            let Ok(upstream) = bill.upstream.parse() else {
+                continue;
+            };
+            let portion = PortionId::new(bill.grant, bill.portion);
+            bills.push(RelayedBill {
+                budget: bill.budget,
+                bill: BillId::new(portion, bill.number),
+                request_id: bill.request_id,
+                upstream,
+                tokens: bill.tokens,
+            });
+        }
+        let holder = call.holder.unwrap_or_default().into();
+        RelayBatch { holder, bills }
+    }
+}
+
+impl From<MemberNews> for wire::Member {
+    fn from(news: MemberNews) -> wire::Member {
+        wire::Member {
+            vm: news.id.vm,
+            incarnation: news.id.incarnation,
+            status: news.status as u32,
+            counter: news.counter,
+            full: news.full,
+        }
+    }
+}
+
+impl From<wire::Member> for MemberNews {
+    fn from(member: wire::Member) -> MemberNews {
+        let status = STATUSES.get(member.status as usize);
+        MemberNews {
+            id: HolderId::new(member.vm, member.incarnation),
+            status: status.copied().unwrap_or(MemberStatus::Alive),
+            counter: member.counter,
+            full: member.full,
+        }
+    }
+}
+
+impl From<PingMessage> for wire::PingCall {
+    fn from(message: PingMessage) -> wire::PingCall {
+        wire::PingCall {
+            news: message.news.into_iter().map(Into::into).collect(),
+            known: Some(message.known.into()),
+        }
+    }
+}
+
+impl From<wire::PingCall> for PingMessage {
+    fn from(call: wire::PingCall) -> PingMessage {
+        PingMessage {
+            news: call.news.into_iter().map(Into::into).collect(),
+            known: call.known.unwrap_or_default().into(),
+        }
+    }
+}
+
+impl From<EvidenceReport> for wire::EvidenceCall {
+    fn from(report: EvidenceReport) -> wire::EvidenceCall {
+        wire::EvidenceCall {
+            holder: Some(report.holder.into()),
+            move_id: report.move_id,
+            evidence: report.evidence,
+            tripped: report.tripped,
+        }
+    }
+}
+
+impl From<wire::EvidenceCall> for EvidenceReport {
+    fn from(call: wire::EvidenceCall) -> EvidenceReport {
+        EvidenceReport {
+            holder: call.holder.unwrap_or_default().into(),
+            move_id: call.move_id,
+            evidence: call.evidence,
+            tripped: call.tripped,
+        }
+    }
+}
+
+impl From<ClaimRequest> for wire::ClaimCall {
+    fn from(request: ClaimRequest) -> wire::ClaimCall {
+        wire::ClaimCall {
+            key: request.key,
+            holder: Some(request.holder.into()),
+            fingerprint: request.fingerprint,
+            upstream: request.upstream,
+        }
+    }
+}
+
+impl From<wire::ClaimCall> for ClaimRequest {
+    fn from(call: wire::ClaimCall) -> ClaimRequest {
+        ClaimRequest {
+            key: call.key,
+            holder: call.holder.unwrap_or_default().into(),
+            fingerprint: call.fingerprint,
+            upstream: call.upstream,
+        }
+    }
+}
+
+impl From<ClaimReply> for wire::ClaimAnswer {
+    fn from(reply: ClaimReply) -> wire::ClaimAnswer {
+        wire::ClaimAnswer {
+            holder: Some(reply.holder.into()),
+            fingerprint: reply.fingerprint,
+            upstream: reply.upstream,
+        }
+    }
+}
+
+impl From<wire::ClaimAnswer> for ClaimReply {
+    fn from(answer: wire::ClaimAnswer) -> ClaimReply {
+        ClaimReply {
+            holder: answer.holder.unwrap_or_default().into(),
+            fingerprint: answer.fingerprint,
+            upstream: answer.upstream,
+        }
+    }
+}
+
+impl From<KnownState> for wire::KnownState {
+    fn from(known: KnownState) -> wire::KnownState {
+        wire::KnownState {
+            control_next: known.control_next,
+            list_version: known.list_version,
+        }
+    }
+}
+
+impl From<wire::KnownState> for KnownState {
+    fn from(known: wire::KnownState) -> KnownState {
+        KnownState {
+            control_next: known.control_next,
+            list_version: known.list_version,
+        }
+    }
+}
+
+impl From<NewerState> for wire::NewerState {
+    fn from(newer: NewerState) -> wire::NewerState {
+        wire::NewerState {
+            control: newer.control.unwrap_or_default(),
+            list: newer.list.unwrap_or_default(),
+        }
+    }
+}
+
+impl From<wire::NewerState> for NewerState {
+    fn from(newer: wire::NewerState) -> NewerState {
+        let present = |text: String| (!text.is_empty()).then_some(text);
+        NewerState {
+            control: present(newer.control),
+            list: present(newer.list),
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/peer/link.rs
@@ -0,0 +1,342 @@
+//! The thread that serves and calls peers.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use {
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::{mpsc, oneshot},
+    },
+    tokio_stream::wrappers::TcpListenerStream,
+    tonic::{
+        Request, Response, Status,
+        transport::{Channel, Endpoint, Server},
+    },
+};
+
+use super::generated::{
+    self as wire,
+    peer_client::PeerClient as WireClient,
+    peer_server::{Peer, PeerServer},
+};
+use crate::ports::{PeerAnswer, PeerCall, PeerFault, PeerPort, PortFuture};
+
+/// Longest time for a call to a peer.
+const CALL_TIME: Duration = Duration::from_millis(250);
+
+/// Longest time for an inbound call to be answered by the router.
+const HANDLE_TIME: Duration = Duration::from_secs(2);
+
+/// Calls that may wait on each side of the channels.
+const CHANNEL_LENGTH: usize = 1024;
+
+/// Largest message of a peer in bytes; a control state is the largest one.
+const MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// A signal that the process received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// The router is told to leave.
+    Leave,
+}
+
+/// A call of another router that waits for its answer.
+pub struct InboundCall {
+    /// The call.
+    pub call: PeerCall,
+    /// Takes the answer; dropping it tells the peer that the router is busy.
+    pub answer: oneshot::Sender<PeerAnswer>,
+}
+
+struct OutboundCall {
+    peer: SocketAddr,
+    call: PeerCall,
+    answer: oneshot::Sender<Result<PeerAnswer, PeerFault>>,
+}
+
+/// Both ends of the thread's channels.
+pub struct PeerLink {
+    /// Calls peers.
+    pub client: PeerClient,
+    /// Calls of peers.
+    pub inbound: mpsc::Receiver<InboundCall>,
+    /// Signals to the process.
+    pub signals: mpsc::Receiver<ProcessSignal>,
+}
+
+/// Calls peers through the thread.
+#[derive(Clone)]
+pub struct PeerClient {
+    outbound: mpsc::Sender<OutboundCall>,
+}
+
+impl PeerLink {
+    /// Starts the thread and listens for peers.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket if `listen` cannot be used.
+    pub fn start(listen: SocketAddr) -> io::Result<PeerLink> {
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let (outbound, calls) = mpsc::channel(CHANNEL_LENGTH);
+        let (inbound_tx, inbound) = mpsc::channel(CHANNEL_LENGTH);
+        let (signal_tx, signals) = mpsc::channel(CHANNEL_LENGTH);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        thread::Builder::new().name("peers".to_owned()).spawn(move || {
+            runtime.block_on(async move {
+                tokio::spawn(forward_signals(signal_tx));
+                tokio::spawn(send_calls(calls));
+                if let Err(err) = serve(listener, inbound_tx).await {
+                    log::error!("peer server ended: {err}");
+                }
+            });
+        })?;
+        let client = PeerClient { outbound };
+        Ok(PeerLink { client, inbound, signals })
+    }
+}
+
+async fn forward_signals(signals: mpsc::Sender<ProcessSignal>) {
+    let (term, interrupt) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut term), Ok(mut interrupt)) = (term, interrupt) else {
+        log::error!("signals cannot be received");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        if signals.send(ProcessSignal::Leave).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve(
+    listener: std::net::TcpListener,
+    inbound: mpsc::Sender<InboundCall>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let service = PeerServer::new(PeerService { inbound })
+        .max_decoding_message_size(MESSAGE_BYTES);
+    Server::builder()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await?;
+    Ok(())
+}
+
+type Channels = Arc<Mutex<BTreeMap<SocketAddr, Channel>>>;
+
+async fn send_calls(mut calls: mpsc::Receiver<OutboundCall>) {
+    let channels = Channels::default();
+    while let Some(outbound) = calls.recv().await {
+        let channels = channels.clone();
+        tokio::spawn(async move {
+            let send = send_call(&channels, outbound.peer, outbound.call);
+            let reply = match tokio::time::timeout(CALL_TIME, send).await {
+                Ok(Ok(answer)) => Ok(answer),
+                Ok(Err(status)) => unreachable(status.message()),
+                Err(_) => unreachable("timed out"),
+            };
+            // A caller that has stopped waiting needs no answer.
+            let _ = outbound.answer.send(reply);
+        });
+    }
+}
+
+fn unreachable(reason: &str) -> Result<PeerAnswer, PeerFault> {
+    Err(PeerFault::Unreachable { reason: reason.to_owned() })
+}
+
+fn channel_to(
+    channels: &Channels,
+    peer: SocketAddr,
+) -> Result<Channel, Status> {
+    // No code panics while it holds the lock.
+    let mut channels = channels.lock().expect("channels");
+    if let Some(channel) = channels.get(&peer) {
+        return Ok(channel.clone());
+    }
+    let endpoint = Endpoint::from_shared(format!("http://{peer}"));
+    let endpoint = endpoint.map_err(|e| Status::internal(e.to_string()))?;
+    let channel = endpoint.connect_timeout(CALL_TIME).connect_lazy();
+    channels.insert(peer, channel.clone());
+    Ok(channel)
+}
+
+async fn send_call(
+    channels: &Channels,
+    peer: SocketAddr,
+    call: PeerCall,
+) -> Result<PeerAnswer, Status> {
+    let channel = channel_to(channels, peer)?;
+    let mut client =
+        WireClient::new(channel).max_decoding_message_size(MESSAGE_BYTES);
+    Ok(match call {
+        PeerCall::Lend(request) => {
+            let call = wire::LendCall::from(request);
+            let answer = client.lend(call).await?.into_inner();
+            PeerAnswer::Lent(answer.into())
+        }
+        PeerCall::Relay(batch) => {
+            client.relay(wire::RelayCall::from(batch)).await?;
+            PeerAnswer::Done
+        }
+        PeerCall::Ping(message) => {
+            let call = wire::PingCall::from(message);
+            PeerAnswer::Pong(client.ping(call).await?.into_inner().into())
+        }
+        PeerCall::PingOther { vm } => {
+            let call = wire::PingOtherCall { vm };
+            let answer = client.ping_other(call).await?.into_inner();
+            PeerAnswer::Reached(answer.reached)
+        }
+        PeerCall::CatchUp(known) => {
+            let call = wire::KnownState::from(known);
+            let newer = client.catch_up(call).await?.into_inner();
+            PeerAnswer::Newer(newer.into())
+        }
+        PeerCall::Evidence(report) => {
+            client.evidence(wire::EvidenceCall::from(report)).await?;
+            PeerAnswer::Done
+        }
+        PeerCall::Claim(request) => {
+            let call = wire::ClaimCall::from(request);
+            PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
+        }
+    })
+}
+
+impl PeerPort for PeerClient {
+    fn call(
+        &self,
+        peer: SocketAddr,
+        call: PeerCall,
+    ) -> PortFuture<'_, Result<PeerAnswer, PeerFault>> {
+        Box::pin(async move {
+            let (answer, reply) = oneshot::channel();
+            let outbound = OutboundCall { peer, call, answer };
+            if self.outbound.send(outbound).await.is_err() {
+                return unreachable("the peer thread has ended");
+            }
+            match reply.await {
+                Ok(reply) => reply,
+                Err(_) => unreachable("the peer thread has ended"),
+            }
+        })
+    }
+}
+
+struct PeerService {
+    inbound: mpsc::Sender<InboundCall>,
+}
+
+impl PeerService {
+    async fn handle(&self, call: PeerCall) -> Result<PeerAnswer, Status> {
+        let (answer, reply) = oneshot::channel();
+        let inbound = InboundCall { call, answer };
+        if self.inbound.send(inbound).await.is_err() {
+            return Err(Status::unavailable("the router has ended"));
+        }
+        match tokio::time::timeout(HANDLE_TIME, reply).await {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(Status::unavailable("the router is busy")),
+        }
+    }
+}
+
+/// Answers a call whose handler returned another kind of answer.
+fn mismatch<T>() -> Result<Response<T>, Status> {
+    Err(Status::internal("unexpected answer"))
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn lend(
+        &self,
+        request: Request<wire::LendCall>,
+    ) -> Result<Response<wire::LendAnswer>, Status> {
+        let call = PeerCall::Lend(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Lent(reply) => Ok(Response::new(reply.into())),
+            _ => mismatch(),
+        }
+    }
+
+    async fn relay(
+        &self,
+        request: Request<wire::RelayCall>,
+    ) -> Result<Response<wire::Empty>, Status> {
+        let call = PeerCall::Relay(request.into_inner().into());
+        self.handle(call).await?;
+        Ok(Response::new(wire::Empty {}))
+    }
+
+    async fn ping(
+        &self,
+        request: Request<wire::PingCall>,
+    ) -> Result<Response<wire::PingCall>, Status> {
+        let call = PeerCall::Ping(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Pong(reply) => Ok(Response::new(reply.into())),
+            _ => mismatch(),
+        }
+    }
+
+    async fn ping_other(
+        &self,
+        request: Request<wire::PingOtherCall>,
+    ) -> Result<Response<wire::PingOtherAnswer>, Status> {
+        let call = PeerCall::PingOther { vm: request.into_inner().vm };
+        match self.handle(call).await? {
+            PeerAnswer::Reached(reached) => {
+                Ok(Response::new(wire::PingOtherAnswer { reached }))
+            }
+            _ => mismatch(),
+        }
+    }
+
+    async fn catch_up(
+        &self,
+        request: Request<wire::KnownState>,
+    ) -> Result<Response<wire::NewerState>, Status> {
+        let call = PeerCall::CatchUp(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Newer(newer) => Ok(Response::new(newer.into())),
+            _ => mismatch(),
+        }
+    }
+
+    async fn evidence(
+        &self,
+        request: Request<wire::EvidenceCall>,
+    ) -> Result<Response<wire::Empty>, Status> {
+        let call = PeerCall::Evidence(request.into_inner().into());
+        self.handle(call).await?;
+        Ok(Response::new(wire::Empty {}))
+    }
+
+    async fn claim(
+        &self,
+        request: Request<wire::ClaimCall>,
+    ) -> Result<Response<wire::ClaimAnswer>, Status> {
+        let call = PeerCall::Claim(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Claimed(reply) => Ok(Response::new(reply.into())),
+            _ => mismatch(),
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/upstream.rs
@@ -0,0 +1,180 @@
+//! The upstream port over HTTP.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, Request},
+    serde::Deserialize,
+};
+
+use crate::{
+    adapters::http::{
+        HttpClient, HttpConnection, HttpFault, HttpReply, ReplyBody,
+    },
+    ports::{
+        PortFuture, UpstreamCall, UpstreamFault, UpstreamLink, UpstreamParts,
+        UpstreamPort, UpstreamReply,
+    },
+};
+
+/// Header with the identity of a request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header with the identity of the bill of a request.
+pub const BILL_HEADER: &str = "x-bill";
+
+/// Header with the fencing number of the sender.
+pub const FENCE_HEADER: &str = "x-fence";
+
+/// Header with the priority of a request.
+pub const PRIORITY_HEADER: &str = "x-priority";
+
+/// Header with the number of events that are already known.
+pub const RESUME_HEADER: &str = "x-resume-from";
+
+/// Header with the number of requests in progress at an upstream.
+pub const LOAD_HEADER: &str = "x-load";
+
+/// Header with the tokens that an earlier, closed bill has paid for.
+pub const PRIOR_HEADER: &str = "x-prior-tokens";
+
+/// Path below which requests are cancelled.
+pub const CANCEL_PATH: &str = "/v1/streams/";
+
+/// Longest time for the answer to a cancellation.
+const CANCEL_TIME: Duration = Duration::from_secs(2);
+
+/// The answer to a cancellation.
+#[derive(Deserialize)]
+struct CancelReply {
+    total_tokens: u64,
+}
+
+/// Upstreams that are reached over HTTP.
+#[derive(Clone, Default)]
+pub struct HttpUpstream {
+    client: HttpClient,
+}
+
+impl HttpUpstream {
+    /// Creates a port that shares the connections of `client`.
+    pub fn new(client: HttpClient) -> HttpUpstream {
+        HttpUpstream { client }
+    }
+}
+
+struct OpenLink {
+    client: HttpClient,
+    address: SocketAddr,
+    connection: HttpConnection,
+}
+
+struct OpenParts {
+    body: ReplyBody,
+}
+
+impl From<HttpFault> for UpstreamFault {
+    fn from(fault: HttpFault) -> UpstreamFault {
+        match fault {
+            HttpFault::TimedOut => UpstreamFault::TimedOut,
+            other => UpstreamFault::Broken { reason: other.to_string() },
+        }
+    }
+}
+
+impl UpstreamPort for HttpUpstream {
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> PortFuture<'_, Result<Box<dyn UpstreamLink>, UpstreamFault>> {
+        Box::pin(async move {
+            let connection = self.client.connect(address).await;
+            let connection = connection.map_err(|fault| {
+                UpstreamFault::Connect { reason: fault.to_string() }
+            })?;
+            let client = self.client.clone();
+            let link = OpenLink { client, address, connection };
+            Ok(Box::new(link) as Box<dyn UpstreamLink>)
+        })
+    }
+
+    fn cancel<'a>(
+        &'a self,
+        address: SocketAddr,
+        request_id: &'a str,
+    ) -> PortFuture<'a, Result<u64, UpstreamFault>> {
+        Box::pin(async move {
+            let request =
+                Request::delete(format!("{CANCEL_PATH}{request_id}"))
+                    .body(Bytes::new())
+                    .map_err(broken)?;
+            let reply = self.client.fetch(address, request, CANCEL_TIME);
+            let (status, body) = reply.await?;
+            if !status.is_success() {
+                return Err(broken(status));
+            }
+            let reply: CancelReply =
+                serde_json::from_slice(&body).map_err(broken)?;
+            Ok(reply.total_tokens)
+        })
+    }
+}
+
+fn broken(reason: impl ToString) -> UpstreamFault {
+    UpstreamFault::Broken { reason: reason.to_string() }
+}
+
+impl UpstreamLink for OpenLink {
+    fn send(
+        self: Box<Self>,
+        call: UpstreamCall,
+    ) -> PortFuture<'static, Result<UpstreamReply, UpstreamFault>> {
+        Box::pin(async move {
+            let OpenLink { client, address, connection } = *self;
+            let request = Request::post(&call.path)
+                .header("content-type", "application/json")
+                .header(REQUEST_ID_HEADER, &call.request_id)
+                .header(BILL_HEADER, &call.bill)
+                .header(FENCE_HEADER, call.fence)
+                .header(PRIORITY_HEADER, u32::from(call.priority))
+                .header(RESUME_HEADER, call.resume_from)
+                .body(call.body)
+                .map_err(broken)?;
+            let head_time = call.head_time;
+            let reply = client.send(address, connection, request, head_time);
+            Ok(upstream_reply(reply.await?))
+        })
+    }
+}
+
+fn upstream_reply(reply: HttpReply) -> UpstreamReply {
+    let content_type = header_text(&reply.headers, "content-type");
+    let load = header_text(&reply.headers, LOAD_HEADER);
+    let prior = header_text(&reply.headers, PRIOR_HEADER);
+    UpstreamReply {
+        status: reply.status.as_u16(),
+        content_type: content_type.unwrap_or_default(),
+        bill: header_text(&reply.headers, BILL_HEADER),
+        prior_tokens: prior.and_then(|p| p.parse().ok()).unwrap_or(0),
+        load: load.and_then(|load| load.parse().ok()),
+        parts: Box::new(OpenParts { body: reply.body }),
+    }
+}
+
+fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?;
+    Some(value.to_str().ok()?.to_owned())
+}
+
+impl UpstreamParts for OpenParts {
+    fn next_part(
+        &mut self,
+        deadline: Instant,
+    ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>> {
+        Box::pin(async move { Ok(self.body.next_part(deadline).await?) })
+    }
+}
--- /dev/null
+++ b/src/bin/magnolia-router.rs
@@ -0,0 +1,96 @@
+//! The router process, one on each entry VM.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use {
+    clap::Parser,
+    magnoliahaven::{
+        RouterSettings, router::RouterProcess, telemetry::init_logging,
+    },
+};
+
+/// Exit code if the settings are faulty.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code if an address cannot be used.
+const EXIT_START: u8 = 3;
+
+/// Exit code if the router left with something unsettled.
+const EXIT_UNSETTLED: u8 = 4;
+
+/// Routes requests of client accounts to upstreams.
+///
+/// Reads its settings from a YAML file and serves until it is told to leave
+/// by SIGTERM, SIGINT or `magnolia-ctl leave`. It then finishes every
+/// request in progress, settles and returns its grants.
+///
+/// Exit codes: 0 left with everything settled; 2 faulty settings; 3 an
+/// address cannot be used; 4 left with something unsettled.
+#[derive(Parser)]
+#[command(version)]
+struct Options {
+    /// File with the settings.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Check the settings and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let file = options.settings.display().to_string();
+    let text = match std::fs::read_to_string(&options.settings) {
+        Ok(text) => text,
+        Err(err) => {
+            eprintln!("{file}: (file): {err}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let settings = match RouterSettings::parse(&file, &text) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{fault}");
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{file}: settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    init_logging(&settings.vm);
+    run(settings)
+}
+
+fn run(settings: RouterSettings) -> ExitCode {
+    // The legacy driver is named explicitly, because the default one of the
+    // runtime would choose io_uring where the kernel offers it.
+    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build();
+    let mut runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            log::error!("no runtime: {err}");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    runtime.block_on(async {
+        let process =
+            RouterProcess::new(settings).and_then(RouterProcess::start);
+        let process = match process {
+            Ok(process) => process,
+            Err(fault) => {
+                log::error!("{fault}");
+                return ExitCode::from(EXIT_START);
+            }
+        };
+        if process.serve().await.finish().await {
+            log::info!("router left");
+            return ExitCode::SUCCESS;
+        }
+        ExitCode::from(EXIT_UNSETTLED)
+    })
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,221 @@
+//! Settings of a router process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::{ConfigFault, load_yaml};
+
+/// Where a router listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and monitoring.
+    pub operators: SocketAddr,
+    /// For other routers.
+    pub peers: SocketAddr,
+}
+
+/// Where the platform's log is and how long it keeps records.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The address of the service.
+    pub address: SocketAddr,
+    /// Time for which records are kept.
+    pub retention: Duration,
+}
+
+/// How budgets are handled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BudgetSettings {
+    /// The number of account partitions; the same at every router.
+    pub partitions: u32,
+    /// Time between two settlements.
+    pub settle_interval: Duration,
+    /// Demand that one grant covers.
+    pub grant_horizon: Duration,
+    /// Time after which an unused portion is given back.
+    pub idle_time: Duration,
+    /// Longest wait of a request for spending rights.
+    pub reserve_time: Duration,
+}
+
+/// Bounds on what callers may send and hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Largest request head in bytes.
+    pub head_bytes: usize,
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request to arrive.
+    pub request_time: Duration,
+    /// Longest time for which an idle connection is kept.
+    pub idle_time: Duration,
+    /// Most open connections of callers.
+    pub connections: usize,
+    /// Longest time for an upstream to begin its answer.
+    pub upstream_time: Duration,
+    /// Bytes held for one slow reader.
+    pub stream_bytes: usize,
+    /// Bytes held for all slow readers of a router.
+    pub held_bytes: usize,
+    /// Longest time for which a slow reader is waited for.
+    pub reader_time: Duration,
+}
+
+/// Settings of a router process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// The name of the VM, as in the platform's list.
+    pub vm: String,
+    /// The region of the VM.
+    pub region: String,
+    /// The failure domain of the VM.
+    pub domain: String,
+    /// Where the router listens.
+    pub listen: ListenSettings,
+    /// The platform's log.
+    pub log: LogSettings,
+    /// How budgets are handled.
+    pub budgets: BudgetSettings,
+    /// Bounds on what callers may send and hold.
+    pub limits: LimitSettings,
+    /// Lifetime of an entry answer.
+    pub entry_lifetime: Duration,
+}
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const fn s(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * 1024;
+
+impl RouterSettings {
+    /// Reads settings from a YAML text.
+    ///
+    /// `docs/CONFIG.md` lists the keys.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the file.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use magnoliahaven::RouterSettings;
+    ///
+    /// let faults = RouterSettings::parse("a.yaml", "vm: 7").unwrap_err();
+    /// assert_eq!(
+    ///     faults[0].to_string(),
+    ///     "a.yaml: vm: expected a text, found 7",
+    /// );
+    /// ```
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<RouterSettings, Vec<ConfigFault>> {
+        let mut reader = load_yaml(file, text)?;
+        let vm = reader.text("vm");
+        let region = reader.text("region");
+        let domain = reader.text("domain");
+        let listen = parse_listen(&mut reader);
+        let log = parse_log(&mut reader);
+        let budgets = parse_budgets(&mut reader);
+        let limits = parse_limits(&mut reader);
+        let entry_lifetime =
+            reader.duration("entry_lifetime", s(30), ms(100)..=s(3600));
+        if log.retention < budgets.settle_interval * 8 {
+            let wanted = "at least 8 times budgets.settle_interval";
+            reader.fault("log.retention", format!("must be {wanted}"));
+        }
+        let faults = reader.finish_file();
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        Ok(RouterSettings {
+            vm,
+            region,
+            domain,
+            listen,
+            log,
+            budgets,
+            limits,
+            entry_lifetime,
+        })
+    }
+}
+
+fn parse_listen(reader: &mut super::YamlReader) -> ListenSettings {
+    let mut section = reader.section("listen");
+    let callers = section.address("callers");
+    let operators = section.address("operators");
+    let peers = section.address("peers");
+    if callers.port() != 0 && (callers == operators || callers == peers) {
+        section.fault("callers", "must differ from the other addresses");
+    }
+    section.finish();
+    ListenSettings { callers, operators, peers }
+}
+
+fn parse_log(reader: &mut super::YamlReader) -> LogSettings {
+    let mut section = reader.section("log");
+    let address = section.address("address");
+    let day = s(24 * 3600);
+    let retention = section.duration("retention", day, s(1)..=day * 366);
+    section.finish();
+    LogSettings { address, retention }
+}
+
+fn parse_budgets(reader: &mut super::YamlReader) -> BudgetSettings {
+    let mut section = reader.section("budgets");
+    let partitions = section.number("partitions", 16, 1..=65_536);
+    let settle_interval =
+        section.duration("settle_interval", s(20), ms(50)..=s(600));
+    let grant_horizon =
+        section.duration("grant_horizon", s(60), ms(100)..=s(3600));
+    let idle_time = section.duration("idle_time", s(120), ms(100)..=s(3600));
+    let reserve_time =
+        section.duration("reserve_time", ms(1000), ms(10)..=s(30));
+    section.finish();
+    BudgetSettings {
+        partitions: partitions as u32,
+        settle_interval,
+        grant_horizon,
+        idle_time,
+        reserve_time,
+    }
+}
+
+fn parse_limits(reader: &mut super::YamlReader) -> LimitSettings {
+    let mut section = reader.section("limits");
+    let head = section.size("head", 16 * KIB, KIB..=64 * KIB);
+    let body = section.size("body", MIB, KIB..=64 * MIB);
+    let request_time =
+        section.duration("request_time", s(10), ms(50)..=s(600));
+    let idle_time = section.duration("idle_time", s(60), ms(100)..=s(3600));
+    let connections = section.number("connections", 4096, 1..=1_000_000);
+    let upstream_time =
+        section.duration("upstream_time", s(30), ms(50)..=s(3600));
+    let stream = section.size("stream", 64 * KIB, KIB..=64 * MIB);
+    let held = section.size("held", 32 * MIB, KIB..=1024 * MIB);
+    let reader_time = section.duration("reader_time", s(30), ms(50)..=s(3600));
+    if held < stream {
+        section.fault("held", "must not be smaller than limits.stream");
+    }
+    section.finish();
+    LimitSettings {
+        head_bytes: head as usize,
+        body_bytes: body as usize,
+        request_time,
+        idle_time,
+        connections: connections as usize,
+        upstream_time,
+        stream_bytes: stream as usize,
+        held_bytes: held as usize,
+        reader_time,
+    }
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,12 @@
+//! What operators do: read the streams of the log and append to them.
+//!
+//! The command line talks to the platform's log and to the routers'
+//! operator addresses. It needs no router to publish a change.
+
+mod client;
+mod report;
+
+pub use self::{
+    client::{CtlClient, CtlFault, MoveRequest, PublishedChange},
+    report::{BudgetRow, RouterRow},
+};
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,97 @@
+//! Entry answers: which routers a caller should connect to.
+//!
+//! No balancer stands in front of the system. A caller asks any router, gets
+//! an ordered list with a lifetime, and connects to the first address that
+//! works. The order keeps one client account on few routers, because a
+//! budget that many routers hold is many small remainders; it spreads the
+//! account over failure domains, and it prefers the caller's region.
+
+use crate::{
+    membership::rendezvous_weight,
+    ports::{VmEntry, VmRole, VmState},
+};
+
+/// Addresses in one answer.
+const ANSWER_LENGTH: usize = 5;
+
+value_types! {
+    /// One address of an entry answer.
+    pub struct EntryAddress {
+        /// The name of the VM.
+        pub vm: String,
+        /// Where callers connect.
+        pub address: std::net::SocketAddr,
+        /// The region of the VM.
+        pub region: String,
+        /// The failure domain of the VM.
+        pub domain: String,
+    }
+
+    /// An entry answer.
+    pub struct EntryAnswer {
+        /// Addresses, the best one first.
+        pub addresses: Vec<EntryAddress>,
+        /// Seconds for which the answer may be kept.
+        pub lifetime_s: u64,
+    }
+}
+
+/// What is known of an entry VM beyond the platform's list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryHealth {
+    /// The router is believed dead or has said that it leaves.
+    pub unusable: bool,
+    /// The router has no free slot left.
+    pub full: bool,
+}
+
+/// Ranks entry VMs for a client account.
+///
+/// `health` tells what is known of each VM. The order is by region, then by
+/// spare capacity, then by rendezvous weight; the second place goes to
+/// another failure domain than the first, if there is one.
+pub fn rank_entries<'a>(
+    vms: impl Iterator<Item = (&'a String, &'a VmEntry)>,
+    account: &str,
+    region: &str,
+    health: impl Fn(&str) -> EntryHealth,
+) -> Vec<EntryAddress> {
+    let mut ranked = Vec::new();
+    for (name, entry) in vms {
+        let known = health(name);
+        if entry.role != VmRole::Entry
+            || entry.state != VmState::Live
+            || known.unusable
+        {
+            continue;
+        }
+        let weight = std::cmp::Reverse(rendezvous_weight(account, name));
+        let rank = (entry.region != region, known.full, weight);
+        ranked.push((rank, name, entry));
+    }
+    ranked.sort_by_key(|(rank, _, _)| *rank);
+    spread_domains(&mut ranked);
+    ranked.truncate(ANSWER_LENGTH);
+    let mut addresses = Vec::with_capacity(ranked.len());
+    for (_, name, entry) in ranked {
+        addresses.push(EntryAddress {
+            vm: name.clone(),
+            address: entry.address,
+            region: entry.region.clone(),
+            domain: entry.domain.clone(),
+        });
+    }
+    addresses
+}
+
+/// Moves the best VM of another failure domain to the second place.
+fn spread_domains<R>(ranked: &mut [(R, &String, &VmEntry)]) {
+    let Some((_, _, first)) = ranked.first() else {
+        return;
+    };
+    let domain = &first.domain;
+    let other = ranked.iter().position(|(_, _, e)| e.domain != *domain);
+    if let Some(other) = other.filter(|other| *other > 1) {
+        ranked[1..=other].rotate_right(1);
+    }
+}
--- /dev/null
+++ b/src/membership/directory.rs
@@ -0,0 +1,82 @@
+//! The newest known list of VMs.
+
+use std::{
+    cell::{Ref, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+};
+
+use crate::ports::{VmEntry, VmList, VmRole, VmState};
+
+/// The platform's list of VMs as this router last saw it.
+pub struct VmDirectory {
+    vm: String,
+    list: RefCell<VmList>,
+}
+
+impl VmDirectory {
+    /// Creates an empty directory for the router on `vm`.
+    pub fn new(vm: impl Into<String>) -> VmDirectory {
+        VmDirectory { vm: vm.into(), list: RefCell::default() }
+    }
+
+    /// The name of this router's VM.
+    pub fn vm(&self) -> &str {
+        &self.vm
+    }
+
+    /// Replaces the list, unless it is older than the known one.
+    pub fn update(&self, list: VmList) {
+        let mut known = self.list.borrow_mut();
+        if list.version > known.version {
+            *known = list;
+        }
+    }
+
+    /// The version of the known list.
+    pub fn version(&self) -> u64 {
+        self.list.borrow().version
+    }
+
+    /// The VMs by name.
+    pub fn vms(&self) -> Ref<'_, BTreeMap<String, VmEntry>> {
+        Ref::map(self.list.borrow(), |list| &list.vms)
+    }
+
+    /// Where the router on a VM takes calls of other routers.
+    pub fn peer_address(&self, vm: &str) -> Option<SocketAddr> {
+        self.vms().get(vm).and_then(|entry| entry.peer_address)
+    }
+
+    /// Live entry VMs in the order in which they serve `key`.
+    ///
+    /// The order is a rendezvous ranking: it is the same at every router
+    /// with the same list, and the loss of a VM moves only its own keys.
+    pub fn ranked_entry_vms(&self, key: &str) -> Vec<String> {
+        let mut ranked = Vec::new();
+        for (name, entry) in self.vms().iter() {
+            let usable =
+                entry.role == VmRole::Entry && entry.state == VmState::Live;
+            if usable {
+                ranked.push((rendezvous_weight(key, name), name.clone()));
+            }
+        }
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().map(|(_, name)| name).collect()
+    }
+}
+
+/// The weight of a node for a key in rendezvous hashing.
+///
+/// # Example
+///
+/// ```
+/// use magnoliahaven::membership::rendezvous_weight;
+///
+/// let weight = rendezvous_weight("dairy", "vm-1");
+/// assert_eq!(weight, rendezvous_weight("dairy", "vm-1"));
+/// ```
+pub fn rendezvous_weight(key: &str, node: &str) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(node.as_bytes(), seed)
+}
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,18 @@
+//! Which VMs there are, and what this router knows of each.
+//!
+//! [`VmDirectory`] holds the newest list of VMs that the platform gave out.
+//! The list lags, may lie still for long and may be out of reach, so every
+//! reader treats it as advice.
+//!
+//! [`MemberTable`] adds what the routers find out from each other. Each one
+//! probes one other router in each period and passes news on with the
+//! probes, so that the cost of a router does not grow with their number.
+//! `docs/design/membership.md` weighs the ways and gives the measured cost.
+
+mod directory;
+mod table;
+
+pub use self::{
+    directory::{VmDirectory, rendezvous_weight},
+    table::{MemberOptions, MemberTable},
+};
--- /dev/null
+++ b/src/moves/evidence.rs
@@ -0,0 +1,295 @@
+//! What has been seen of two versions, and the verdict on the new one.
+
+use std::collections::BTreeMap;
+
+use crate::domain::HolderId;
+
+/// Routes with counters of their own; further ones share the last entry.
+const COUNTED_ROUTES: usize = 64;
+
+/// The route that collects what has no counter of its own.
+const OTHER_ROUTE: &str = "other";
+
+/// Fewest failures of the new version that can condemn it.
+const LEAST_FAILURES: u64 = 4;
+
+/// Failures of the new version that condemn it without a comparison, if
+/// more than half of its requests failed.
+const LONE_FAILURES: u64 = 6;
+
+/// Fewest requests of a version for a comparison.
+const LEAST_REQUESTS: u64 = 20;
+
+/// Standard deviations between the failure rates that condemn a version.
+const FAILURE_SCORE: f64 = 4.5;
+
+/// Standard deviations between the mean latencies that condemn a version.
+const LATENCY_SCORE: f64 = 6.0;
+
+/// Least ratio between the latencies that condemns a version.
+const LATENCY_RATIO: f64 = 1.5;
+
+/// Requests on a route beyond which its counters decay.
+const DECAYED_REQUESTS: u64 = 200;
+
+/// Resolution of the logarithms of latencies.
+const LOG_SCALE: f64 = 1_000.0;
+
+value_types! {
+    /// Counters of one version on one route.
+    #[derive(Copy, Default)]
+    pub struct RouteEvidence {
+        /// Finished requests.
+        pub requests: u64,
+        /// Requests that the upstream failed.
+        pub failures: u64,
+        /// Answered requests with a measured latency.
+        pub timed: u64,
+        /// Sum of the logarithms of their latencies, in thousandths.
+        pub log_sum: u64,
+        /// Sum of the squares of the same logarithms.
+        pub log_squares: u64,
+    }
+
+    /// Counters of one version by route.
+    #[derive(Default)]
+    pub struct VersionEvidence {
+        /// The counters.
+        pub routes: BTreeMap<String, RouteEvidence>,
+    }
+
+    /// What one router has seen of a move since its start.
+    #[derive(Default)]
+    pub struct EvidenceTally {
+        /// The version that had the traffic.
+        pub old: VersionEvidence,
+        /// The version that takes it.
+        pub new: VersionEvidence,
+    }
+}
+
+/// What the evidence says of the new version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against the version.
+    Sound,
+    /// The version is worse than the old one.
+    Bad {
+        /// The route and the numbers that show it.
+        reason: String,
+    },
+}
+
+impl RouteEvidence {
+    /// Counts a finished request.
+    pub fn note(&mut self, failed: bool, latency_us: Option<u64>) {
+        self.requests += 1;
+        self.failures += u64::from(failed);
+        let Some(latency_us) = latency_us else {
+            return;
+        };
+        // Scaled logarithms of microseconds stay below 50,000.
+        let log = ((latency_us.max(1) as f64).ln() * LOG_SCALE) as u64;
+        self.timed += 1;
+        self.log_sum += log;
+        self.log_squares += log * log;
+    }
+
+    /// Adds the counters of another router.
+    pub fn add(&mut self, other: &RouteEvidence) {
+        self.requests += other.requests;
+        self.failures += other.failures;
+        self.timed += other.timed;
+        self.log_sum += other.log_sum;
+        self.log_squares += other.log_squares;
+    }
+
+    fn halve(&mut self) {
+        self.requests /= 2;
+        self.failures /= 2;
+        self.timed /= 2;
+        self.log_sum /= 2;
+        self.log_squares /= 2;
+    }
+
+    fn failure_rate(&self) -> f64 {
+        self.failures as f64 / self.requests.max(1) as f64
+    }
+
+    fn log_mean(&self) -> f64 {
+        self.log_sum as f64 / self.timed.max(1) as f64
+    }
+
+    fn log_variance(&self) -> f64 {
+        let squares = self.log_squares as f64 / self.timed.max(1) as f64;
+        (squares - self.log_mean().powi(2)).max(1.0)
+    }
+}
+
+impl VersionEvidence {
+    /// Counts a finished request.
+    pub fn note(
+        &mut self,
+        route: &str,
+        failed: bool,
+        latency_us: Option<u64>,
+    ) {
+        let known = self.routes.contains_key(route);
+        let counted = known || self.routes.len() < COUNTED_ROUTES;
+        let route = if counted { route } else { OTHER_ROUTE };
+        let entry = self.routes.entry(route.to_owned()).or_default();
+        entry.note(failed, latency_us);
+    }
+
+    /// Adds the counters of another router.
+    pub fn add(&mut self, other: &VersionEvidence) {
+        for (route, evidence) in &other.routes {
+            self.routes.entry(route.clone()).or_default().add(evidence);
+        }
+    }
+
+    /// Halves the counters of routes that have seen much, so that a fault
+    /// that begins late is not lost in what went well before.
+    pub fn decay(&mut self) {
+        for route in self.routes.values_mut() {
+            if route.requests > DECAYED_REQUESTS {
+                route.halve();
+            }
+        }
+    }
+
+    /// Finished requests on all routes.
+    pub fn requests(&self) -> u64 {
+        self.routes.values().map(|route| route.requests).sum()
+    }
+
+    /// Counters over all routes.
+    fn whole(&self) -> RouteEvidence {
+        let mut whole = RouteEvidence::default();
+        for route in self.routes.values() {
+            whole.add(route);
+        }
+        whole
+    }
+}
+
+impl EvidenceTally {
+    /// Adds the counters of another router.
+    pub fn add(&mut self, other: &EvidenceTally) {
+        self.old.add(&other.old);
+        self.new.add(&other.new);
+    }
+
+    /// Judges the new version, on each route and over all of them.
+    ///
+    /// A failure rate condemns a version if it lies [`FAILURE_SCORE`]
+    /// standard deviations above the old version's under the same load.
+    /// A latency condemns it by the same kind of comparison.
+    pub fn verdict(&self) -> Verdict {
+        for (route, new) in &self.new.routes {
+            let old = self.old.routes.get(route).copied().unwrap_or_default();
+            if let Some(reason) = compare(&old, new) {
+                return Verdict::Bad { reason: format!("{route}: {reason}") };
+            }
+        }
+        match compare(&self.old.whole(), &self.new.whole()) {
+            Some(reason) => {
+                Verdict::Bad { reason: format!("all routes: {reason}") }
+            }
+            None => Verdict::Sound,
+        }
+    }
+}
+
+fn compare(old: &RouteEvidence, new: &RouteEvidence) -> Option<String> {
+    compare_failures(old, new).or_else(|| compare_latencies(old, new))
+}
+
+fn compare_failures(
+    old: &RouteEvidence,
+    new: &RouteEvidence,
+) -> Option<String> {
+    if new.failures < LEAST_FAILURES {
+        return None;
+    }
+    let (old_rate, new_rate) = (old.failure_rate(), new.failure_rate());
+    let reason = || {
+        format!(
+            "{} of {} requests failed, {} of {} on the old version",
+            new.failures, new.requests, old.failures, old.requests,
+        )
+    };
+    if old.requests < LEAST_REQUESTS {
+        let lone = new.failures >= LONE_FAILURES && new_rate > 0.5;
+        return lone.then(reason);
+    }
+    let requests = (old.requests + new.requests) as f64;
+    let pooled = (old.failures + new.failures) as f64 / requests;
+    let spread = 1.0 / old.requests as f64 + 1.0 / new.requests as f64;
+    let deviation = (pooled * (1.0 - pooled) * spread).sqrt();
+    // With every request failed on both sides there is nothing to compare.
+    let score = (new_rate - old_rate) / deviation.max(f64::MIN_POSITIVE);
+    (new_rate > old_rate && score > FAILURE_SCORE).then(reason)
+}
+
+fn compare_latencies(
+    old: &RouteEvidence,
+    new: &RouteEvidence,
+) -> Option<String> {
+    if old.timed < LEAST_REQUESTS || new.timed < LEAST_REQUESTS {
+        return None;
+    }
+    let difference = new.log_mean() - old.log_mean();
+    let ratio = (difference / LOG_SCALE).exp();
+    let old_part = old.log_variance() / old.timed as f64;
+    let new_part = new.log_variance() / new.timed as f64;
+    let score = difference / (old_part + new_part).sqrt();
+    if score < LATENCY_SCORE || ratio < LATENCY_RATIO {
+        return None;
+    }
+    Some(format!("{ratio:.1} times as slow as the old version"))
+}
+
+/// The evidence of all routers on the moves of today.
+#[derive(Debug, Default)]
+pub struct EvidenceBook {
+    own: BTreeMap<u64, EvidenceTally>,
+    reported: BTreeMap<u64, BTreeMap<HolderId, EvidenceTally>>,
+}
+
+impl EvidenceBook {
+    /// Creates an empty book.
+    pub fn new() -> EvidenceBook {
+        EvidenceBook::default()
+    }
+
+    /// This router's own evidence on a move.
+    pub fn own(&mut self, id: u64) -> &mut EvidenceTally {
+        self.own.entry(id).or_default()
+    }
+
+    /// Replaces what a router has reported on a move.
+    ///
+    /// Reports are cumulative, so that a lost or repeated one does no harm.
+    pub fn report(&mut self, id: u64, from: HolderId, tally: EvidenceTally) {
+        self.reported.entry(id).or_default().insert(from, tally);
+    }
+
+    /// The evidence of all routers on a move.
+    pub fn sum(&self, id: u64) -> EvidenceTally {
+        let mut sum = self.own.get(&id).cloned().unwrap_or_default();
+        let Some(reports) = self.reported.get(&id) else {
+            return sum;
+        };
+        for tally in reports.values() {
+            sum.add(tally);
+        }
+        sum
+    }
+
+    /// Drops the evidence on moves that are not in `ids`.
+    pub fn retain(&mut self, ids: &[u64]) {
+        self.own.retain(|id, _| ids.contains(id));
+        self.reported.retain(|id, _| ids.contains(id));
+    }
+}
--- /dev/null
+++ b/src/ports/mod.rs
@@ -0,0 +1,37 @@
+//! What the decisions need from the outside world.
+//!
+//! Each port is a small trait with one real adapter and, in tests, a fake.
+//! No decision of the crate names a protocol.
+//!
+//! * [`LogPort`]: the platform's append-only log.
+//! * [`VmListPort`]: the platform's lagging list of VMs.
+//! * [`UpstreamPort`]: model engines and plain services.
+//! * [`PeerPort`]: the other routers.
+//!
+//! The traits return boxed futures so that they can be used as trait
+//! objects. A box for each call costs far less than the call behind it.
+
+mod log;
+mod peer;
+mod upstream;
+mod vm_list;
+
+use std::{future::Future, pin::Pin};
+
+pub use self::{
+    log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
+    peer::{
+        ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
+        LendRequest, MemberNews, MemberStatus, NewerState, PeerAnswer,
+        PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage, RelayBatch,
+        RelayedBill,
+    },
+    upstream::{
+        UpstreamCall, UpstreamFault, UpstreamLink, UpstreamParts,
+        UpstreamPort, UpstreamReply,
+    },
+    vm_list::{VmEntry, VmList, VmListPort, VmRole, VmState},
+};
+
+/// The future returned by the methods of ports.
+pub type PortFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
--- /dev/null
+++ b/src/ports/upstream.rs
@@ -0,0 +1,120 @@
+//! Model engines and plain services.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use {bytes::Bytes, snafu::Snafu};
+
+use super::PortFuture;
+
+/// Why an upstream did not answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum UpstreamFault {
+    /// No connection; no byte of the request has left.
+    #[snafu(display("cannot connect: {reason}"))]
+    Connect {
+        /// The error of the connection.
+        reason: String,
+    },
+    /// The connection failed after bytes had left.
+    #[snafu(display("connection lost: {reason}"))]
+    Broken {
+        /// The error of the connection.
+        reason: String,
+    },
+    /// The answer did not arrive in time.
+    #[snafu(display("timed out"))]
+    TimedOut,
+}
+
+/// One request to an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamCall {
+    /// The path with its query.
+    pub path: String,
+    /// Identity of the request; an engine runs each identity once.
+    pub request_id: String,
+    /// Identity of the bill that pays for the request.
+    pub bill: String,
+    /// Fencing number of the holder that sends the request.
+    pub fence: u64,
+    /// Lower values are served first.
+    pub priority: u8,
+    /// Number of events of the answer that are already known.
+    pub resume_from: u64,
+    /// The JSON body.
+    pub body: Bytes,
+    /// Longest time until the head of the answer.
+    pub head_time: Duration,
+}
+
+/// The head of an answer of an upstream.
+pub struct UpstreamReply {
+    /// The HTTP status code.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The bill under which the upstream first accepted the request, if it
+    /// says so.
+    pub bill: Option<String>,
+    /// Tokens of the request that an earlier, closed bill has paid for.
+    pub prior_tokens: u64,
+    /// Requests in progress at the upstream, if it says so.
+    pub load: Option<u32>,
+    /// The body.
+    pub parts: Box<dyn UpstreamParts>,
+}
+
+/// The body of an answer, pulled part by part.
+pub trait UpstreamParts {
+    /// Reads the next part; `None` at the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` after `deadline`, `Broken` if the body ends early.
+    fn next_part(
+        &mut self,
+        deadline: Instant,
+    ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>>;
+}
+
+/// An open connection to an upstream on which nothing has been sent.
+pub trait UpstreamLink {
+    /// Sends a call and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Any fault leaves open whether the upstream acts on the call.
+    fn send(
+        self: Box<Self>,
+        call: UpstreamCall,
+    ) -> PortFuture<'static, Result<UpstreamReply, UpstreamFault>>;
+}
+
+/// Access to upstreams.
+pub trait UpstreamPort {
+    /// Opens a connection without sending anything.
+    ///
+    /// # Errors
+    ///
+    /// `Connect`, after which another upstream may be tried.
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> PortFuture<'_, Result<Box<dyn UpstreamLink>, UpstreamFault>>;
+
+    /// Stops a request and returns the tokens that it has used so far.
+    ///
+    /// A later call with the same identity goes on where it was stopped.
+    ///
+    /// # Errors
+    ///
+    /// Any fault leaves open whether the request was cancelled.
+    fn cancel<'a>(
+        &'a self,
+        address: SocketAddr,
+        request_id: &'a str,
+    ) -> PortFuture<'a, Result<u64, UpstreamFault>>;
+}
--- /dev/null
+++ b/src/router/operators.rs
@@ -0,0 +1,130 @@
+//! Answers to operators and monitoring.
+
+use std::{rc::Rc, time::Duration};
+
+use {
+    http::Method,
+    monoio::net::{TcpListener, TcpStream},
+    serde_json::{Value, json},
+    tokio::sync::mpsc,
+};
+
+use super::{RouterCore, callers::error_response};
+use crate::{
+    adapters::{
+        http::{
+            HttpConnection, HttpRequest, MessageLimits, json_response,
+            text_response,
+        },
+        peer::ProcessSignal,
+    },
+    error::{CallError, ErrorKind},
+    ports::MemberStatus,
+};
+
+/// Longest time for which an operator's connection is kept idle.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// Accepts operators for as long as the task lives.
+pub(super) async fn run_listener(
+    core: Rc<RouterCore>,
+    listener: TcpListener,
+    leave: mpsc::Sender<ProcessSignal>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            core.timer.sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        monoio::spawn(serve_connection(core.clone(), stream, leave.clone()));
+    }
+}
+
+async fn serve_connection(
+    core: Rc<RouterCore>,
+    stream: TcpStream,
+    leave: mpsc::Sender<ProcessSignal>,
+) {
+    let connection = HttpConnection::new(stream);
+    let (mut reader, mut responder) =
+        connection.into_server(MessageLimits::new());
+    while let Ok(request) = reader.next_request(IDLE_TIME).await {
+        let response = answer(&core, &request, &leave);
+        if responder.send(response).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(
+    core: &RouterCore,
+    request: &HttpRequest,
+    leave: &mpsc::Sender<ProcessSignal>,
+) -> http::Response<bytes::Bytes> {
+    match (&request.head.method, request.path()) {
+        (&Method::GET, "/healthz") => text_response(200, "ok\n".to_owned()),
+        (&Method::GET, "/readyz") => {
+            if core.is_ready() {
+                return text_response(200, "ready\n".to_owned());
+            }
+            text_response(503, "not ready\n".to_owned())
+        }
+        (&Method::GET, "/metrics") => {
+            text_response(200, core.metrics.render())
+        }
+        (&Method::GET, "/v1/status") => json_response(200, &status(core)),
+        (&Method::POST, "/v1/leave") => {
+            // A full channel holds the same signal already.
+            let _ = leave.try_send(ProcessSignal::Leave);
+            json_response(202, &json!({"leaving": true}))
+        }
+        _ => error_response(&CallError::new(
+            ErrorKind::UnknownPath,
+            "there is no such endpoint for operators",
+        )),
+    }
+}
+
+/// The state of the router for operators.
+fn status(core: &RouterCore) -> Value {
+    let control = core.control.borrow();
+    let (revision, preset, control_next) = match control.fold() {
+        Some(ledger) => {
+            (json!(ledger.revision), ledger.preset.clone(), ledger.next)
+        }
+        None => (Value::Null, String::new(), 0),
+    };
+    let mut members = serde_json::Map::new();
+    for news in core.members.members() {
+        let status = match news.status {
+            MemberStatus::Alive => "alive",
+            MemberStatus::Suspect => "suspect",
+            MemberStatus::Leaving => "leaving",
+            MemberStatus::Dead => "dead",
+        };
+        members.insert(news.id.vm, json!(status));
+    }
+    let (partitions, portions) = core.keeper.sizes();
+    json!({
+        "vm": core.settings.vm,
+        "region": core.settings.region,
+        "domain": core.settings.domain,
+        "incarnation": core.id.incarnation,
+        "uptime_s": core.started.elapsed().as_secs(),
+        "ready": core.is_ready(),
+        "leaving": core.leaving.get(),
+        "revision": revision,
+        "applied_ms": core.applied_ms.get(),
+        "control_next": control_next,
+        "preset": preset,
+        "log_reachable": core.keeper.is_log_healthy(),
+        "list_version": core.directory.version(),
+        "in_progress": core.in_progress.get(),
+        "spare_slots": core.table.spare(),
+        "partitions": partitions,
+        "portions": portions,
+        "appends": core.keeper.appends(),
+        "members": members,
+        "tripped_moves": core.tripped.borrow().clone(),
+    })
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,23 @@
+//! Which upstream takes a request, and when.
+//!
+//! * [`subset`](upstream_subset): each router uses a few workers of each
+//!   version, chosen by rendezvous hashing, and owns a fixed part of the
+//!   concurrency limit of each of them. The parts of all routers add up to
+//!   less than the limit, whatever each router does on its own.
+//! * [`UpstreamTable`] counts what is in progress against that part, ranks
+//!   the workers and queues requests that find none free.
+//! * [`RetryBudget`] keeps retries a small share of the traffic.
+//!
+//! `docs/design/routing.md` gives the arithmetic at the target size.
+
+mod queue;
+mod retry;
+mod subset;
+mod table;
+
+pub use self::{
+    queue::{AdmissionQueue, QueuedCall},
+    retry::RetryBudget,
+    subset::{SubsetPlan, upstream_share, upstream_subset},
+    table::{AdmitRequest, UpstreamSlot, UpstreamTable, UpstreamView},
+};
--- /dev/null
+++ b/src/routing/queue.rs
@@ -0,0 +1,99 @@
+//! Requests that wait for a free slot.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use crate::config::CallClass;
+
+/// Most requests of one class that wait for one service.
+const QUEUE_LENGTH: usize = 256;
+
+/// A request that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedCall {
+    /// How urgent it is.
+    pub class: CallClass,
+    /// The client account that sent it.
+    pub account: String,
+    /// The version that shall serve it.
+    pub version: String,
+    /// Upstreams that have failed for it.
+    pub excluded: Vec<String>,
+    /// Requests with the same text here like the same upstream.
+    pub affinity: String,
+    /// Part of the slots open to drafts, in percent.
+    pub draft_percent: u32,
+    /// When it gives up.
+    pub deadline: Instant,
+}
+
+/// The queue of one service.
+///
+/// The most urgent class goes first. Within a class the account with the
+/// fewest requests in progress goes first, and the oldest of its requests,
+/// so that an account that floods the queue waits behind the others.
+#[derive(Debug, Default)]
+pub struct AdmissionQueue {
+    waiting: BTreeMap<u64, QueuedCall>,
+    last_ticket: u64,
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue.
+    pub fn new() -> AdmissionQueue {
+        AdmissionQueue::default()
+    }
+
+    /// The number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Requests that would be served before a new one of `class`.
+    pub fn ahead_of(&self, class: CallClass) -> usize {
+        let ahead = self.waiting.values().filter(|call| call.class <= class);
+        ahead.count()
+    }
+
+    /// Adds a request; `None` if the queue of its class is full.
+    pub fn push(&mut self, call: QueuedCall) -> Option<u64> {
+        let same = self.waiting.values().filter(|c| c.class == call.class);
+        if same.count() >= QUEUE_LENGTH {
+            return None;
+        }
+        self.last_ticket += 1;
+        self.waiting.insert(self.last_ticket, call);
+        Some(self.last_ticket)
+    }
+
+    /// Takes a request out that is served now or has given up.
+    pub fn take(&mut self, ticket: u64) -> Option<QueuedCall> {
+        self.waiting.remove(&ticket)
+    }
+
+    /// The ticket to be served next among those for which `fits` holds.
+    ///
+    /// `in_progress` tells how many requests of an account are served.
+    pub fn next(
+        &self,
+        now: Instant,
+        in_progress: impl Fn(&str) -> usize,
+        fits: impl Fn(&QueuedCall) -> bool,
+    ) -> Option<u64> {
+        let mut best: Option<((CallClass, usize, u64), u64)> = None;
+        for (ticket, call) in &self.waiting {
+            if call.deadline <= now || !fits(call) {
+                continue;
+            }
+            let rank = (call.class, in_progress(&call.account), *ticket);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, *ticket));
+            }
+        }
+        best.map(|(_, ticket)| ticket)
+    }
+}
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,454 @@
+//! What is in progress at each upstream, and who comes next.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::oneshot;
+
+use super::{AdmissionQueue, QueuedCall};
+use crate::{
+    config::CallClass,
+    error::{CallError, ErrorKind},
+    membership::rendezvous_weight,
+};
+
+/// An upstream that refused a connection is left alone for this long.
+const PENALTY_TIME: Duration = Duration::from_secs(1);
+
+/// A load report counts for this long.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+
+/// Weight of the newest request in the average duration.
+const DURATION_WEIGHT: f64 = 0.1;
+
+/// Longest `Retry-After` that a full queue leads to, in seconds.
+const LONGEST_RETRY_S: f64 = 60.0;
+
+/// An upstream of this router's subset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamView {
+    /// The name of the VM.
+    pub vm: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The service it serves.
+    pub service: String,
+    /// The version it runs.
+    pub version: String,
+    /// Slots that this router owns there.
+    pub share: u32,
+    /// The limit of the upstream over all routers.
+    pub limit: u32,
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct AdmitRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The version that shall serve the request.
+    pub version: &'a str,
+    /// How urgent it is.
+    pub class: CallClass,
+    /// The client account.
+    pub account: &'a str,
+    /// Upstreams that have failed for this request.
+    pub excluded: &'a [String],
+    /// Requests with the same text here like the same upstream.
+    pub affinity: &'a str,
+    /// Longest wait in the queue.
+    pub wait: Duration,
+    /// Part of the slots open to drafts, in percent.
+    pub draft_percent: u32,
+}
+
+#[derive(Debug)]
+struct UpstreamEntry {
+    view: UpstreamView,
+    in_progress: u32,
+    drafts: u32,
+    penalty: Option<Instant>,
+    load: Option<(u32, Instant)>,
+    removed: bool,
+}
+
+impl UpstreamEntry {
+    fn serves(&self, service: &str, call: &QueuedCall) -> bool {
+        !self.removed
+            && self.view.service == service
+            && self.view.version == call.version
+            && !call.excluded.contains(&self.view.vm)
+    }
+
+    fn is_free(&self, call: &QueuedCall) -> bool {
+        if self.in_progress >= self.view.share {
+            return false;
+        }
+        if self.penalty.is_some_and(|until| until > Instant::now()) {
+            return false;
+        }
+        let drafts = (self.view.share * call.draft_percent / 100).max(1);
+        if call.class == CallClass::Draft && self.drafts >= drafts {
+            return false;
+        }
+        self.fresh_load().is_none_or(|load| load < self.view.limit)
+    }
+
+    fn fresh_load(&self) -> Option<u32> {
+        let (load, at) = self.load?;
+        (at.elapsed() < LOAD_TIME).then_some(load)
+    }
+
+    /// Own requests decide; the reported load, which is old, breaks ties.
+    fn rank(&self, affinity: &str) -> (u32, u32, std::cmp::Reverse<u64>) {
+        let own = self.in_progress * 1_000 / self.view.share.max(1);
+        let load = self.fresh_load().unwrap_or(0);
+        let likes = rendezvous_weight(affinity, &self.view.vm);
+        (own, load, std::cmp::Reverse(likes))
+    }
+}
+
+#[derive(Default)]
+struct TableState {
+    upstreams: BTreeMap<String, UpstreamEntry>,
+    queues: BTreeMap<String, AdmissionQueue>,
+    wakers: BTreeMap<(String, u64), oneshot::Sender<UpstreamSlot>>,
+    accounts: BTreeMap<String, usize>,
+    durations: BTreeMap<String, f64>,
+}
+
+/// The upstreams of this router with their queues.
+///
+/// Clones share one state.
+#[derive(Clone, Default)]
+pub struct UpstreamTable {
+    state: Rc<RefCell<TableState>>,
+}
+
+/// A slot at an upstream, given back on drop.
+pub struct UpstreamSlot {
+    table: UpstreamTable,
+    view: UpstreamView,
+    class: CallClass,
+    account: String,
+    since: Instant,
+}
+
+impl UpstreamSlot {
+    /// The upstream.
+    pub fn upstream(&self) -> &UpstreamView {
+        &self.view
+    }
+
+    /// Notes that the upstream refused a connection.
+    pub fn note_refused(&self) {
+        let mut state = self.table.state.borrow_mut();
+        if let Some(entry) = state.upstreams.get_mut(&self.view.vm) {
+            entry.penalty = Some(Instant::now() + PENALTY_TIME);
+        }
+    }
+
+    /// Notes the load that the upstream reported with its answer.
+    pub fn note_load(&self, load: u32) {
+        let mut state = self.table.state.borrow_mut();
+        if let Some(entry) = state.upstreams.get_mut(&self.view.vm) {
+            entry.load = Some((load, Instant::now()));
+        }
+    }
+}
+
+impl Drop for UpstreamSlot {
+    fn drop(&mut self) {
+        self.table.state.borrow_mut().vacate(self);
+        self.table.serve_queue(&self.view.service);
+    }
+}
+
+impl UpstreamTable {
+    /// Creates an empty table.
+    pub fn new() -> UpstreamTable {
+        UpstreamTable::default()
+    }
+
+    /// Replaces the upstreams.
+    ///
+    /// An upstream that is gone from `views` gets nothing new; requests in
+    /// progress there go on.
+    pub fn update(&self, views: &[UpstreamView]) {
+        let services = {
+            let mut state = self.state.borrow_mut();
+            state.update(views);
+            state.queues.keys().cloned().collect::<Vec<String>>()
+        };
+        for service in services {
+            self.serve_queue(&service);
+        }
+    }
+
+    /// Requests in progress, by account.
+    pub fn in_progress_of(&self, account: &str) -> usize {
+        let state = self.state.borrow();
+        state.accounts.get(account).copied().unwrap_or(0)
+    }
+
+    /// Requests in progress at all upstreams.
+    pub fn in_progress(&self) -> u32 {
+        let state = self.state.borrow();
+        state.upstreams.values().map(|entry| entry.in_progress).sum()
+    }
+
+    /// Slots that are free at all upstreams.
+    pub fn spare(&self) -> u32 {
+        let state = self.state.borrow();
+        let live = state.upstreams.values().filter(|entry| !entry.removed);
+        live.map(|e| e.view.share.saturating_sub(e.in_progress)).sum()
+    }
+
+    /// Takes a slot, waiting in the queue if none is free.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` if no upstream runs the version, `Overloaded` if the
+    /// wait would be, or turned out to be, longer than allowed. Both come at
+    /// once when they are certain.
+    pub async fn admit(
+        &self,
+        request: &AdmitRequest<'_>,
+    ) -> Result<UpstreamSlot, CallError> {
+        let (ticket, waiter) = {
+            let mut state = self.state.borrow_mut();
+            let call = request.to_queued();
+            if !state.has_version(request.service, &call) {
+                return Err(no_upstream(request));
+            }
+            if let Some(view) = state.occupy(request.service, &call) {
+                return Ok(self.slot(view, &call));
+            }
+            state.enqueue(request, call)?
+        };
+        let mut place = QueuePlace {
+            table: self,
+            service: request.service,
+            ticket,
+            waiter,
+        };
+        let wait = monoio::time::timeout(request.wait, &mut place.waiter);
+        match wait.await {
+            Ok(Ok(slot)) => Ok(slot),
+            _ => Err(self.state.borrow().overloaded(request)),
+        }
+    }
+
+    fn slot(&self, view: UpstreamView, call: &QueuedCall) -> UpstreamSlot {
+        UpstreamSlot {
+            table: self.clone(),
+            view,
+            class: call.class,
+            account: call.account.clone(),
+            since: Instant::now(),
+        }
+    }
+
+    /// Gives free slots to waiting requests.
+    fn serve_queue(&self, service: &str) {
+        loop {
+            let served = self.state.borrow_mut().serve_next(service);
+            let Some((waker, view, call)) = served else {
+                return;
+            };
+            // A request that has just given up drops its receiver. The slot
+            // then comes back here and goes to the next one.
+            let _ = waker.send(self.slot(view, &call));
+        }
+    }
+}
+
+impl AdmitRequest<'_> {
+    fn to_queued(&self) -> QueuedCall {
+        QueuedCall {
+            class: self.class,
+            account: self.account.to_owned(),
+            version: self.version.to_owned(),
+            excluded: self.excluded.to_vec(),
+            affinity: self.affinity.to_owned(),
+            draft_percent: self.draft_percent,
+            deadline: Instant::now() + self.wait,
+        }
+    }
+}
+
+/// A place in the queue that is given up on drop.
+struct QueuePlace<'a> {
+    table: &'a UpstreamTable,
+    service: &'a str,
+    ticket: u64,
+    waiter: oneshot::Receiver<UpstreamSlot>,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut state = self.table.state.borrow_mut();
+        state.wakers.remove(&(self.service.to_owned(), self.ticket));
+        if let Some(queue) = state.queues.get_mut(self.service) {
+            queue.take(self.ticket);
+        }
+        // A slot that was given in the meantime is dropped with the receiver
+        // and so comes back by itself.
+    }
+}
+
+type ServedCall = (oneshot::Sender<UpstreamSlot>, UpstreamView, QueuedCall);
+
+impl TableState {
+    fn update(&mut self, views: &[UpstreamView]) {
+        for entry in self.upstreams.values_mut() {
+            entry.removed = true;
+        }
+        for view in views {
+            let entry = self.upstreams.entry(view.vm.clone());
+            let entry = entry.or_insert_with(|| UpstreamEntry {
+                view: view.clone(),
+                in_progress: 0,
+                drafts: 0,
+                penalty: None,
+                load: None,
+                removed: false,
+            });
+            entry.removed = false;
+            entry.view = view.clone();
+        }
+        self.upstreams.retain(|_, e| !e.removed || e.in_progress > 0);
+    }
+
+    fn has_version(&self, service: &str, call: &QueuedCall) -> bool {
+        let mut entries = self.upstreams.values();
+        entries.any(|entry| entry.serves(service, call))
+    }
+
+    /// The best upstream with a free slot for a call.
+    fn best_free(&self, service: &str, call: &QueuedCall) -> Option<&str> {
+        let mut best = None;
+        for (vm, entry) in &self.upstreams {
+            if !entry.serves(service, call) || !entry.is_free(call) {
+                continue;
+            }
+            let rank = entry.rank(&call.affinity);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, vm.as_str()));
+            }
+        }
+        best.map(|(_, vm)| vm)
+    }
+
+    /// Takes the best free slot for a call.
+    fn occupy(
+        &mut self,
+        service: &str,
+        call: &QueuedCall,
+    ) -> Option<UpstreamView> {
+        let vm = self.best_free(service, call)?.to_owned();
+        let entry = self.upstreams.get_mut(&vm)?;
+        entry.in_progress += 1;
+        if call.class == CallClass::Draft {
+            entry.drafts += 1;
+        }
+        let view = entry.view.clone();
+        *self.accounts.entry(call.account.clone()).or_default() += 1;
+        Some(view)
+    }
+
+    /// Gives a slot back.
+    fn vacate(&mut self, slot: &UpstreamSlot) {
+        let took = slot.since.elapsed().as_secs_f64();
+        let average = self.durations.entry(slot.view.service.clone());
+        let average = average.or_insert(took);
+        *average += (took - *average) * DURATION_WEIGHT;
+        if let Some(count) = self.accounts.get_mut(&slot.account) {
+            *count -= 1;
+            if *count == 0 {
+                self.accounts.remove(&slot.account);
+            }
+        }
+        let Some(entry) = self.upstreams.get_mut(&slot.view.vm) else {
+            return;
+        };
+        entry.in_progress -= 1;
+        if slot.class == CallClass::Draft {
+            entry.drafts -= 1;
+        }
+        if entry.removed && entry.in_progress == 0 {
+            self.upstreams.remove(&slot.view.vm);
+        }
+    }
+
+    fn enqueue(
+        &mut self,
+        request: &AdmitRequest<'_>,
+        call: QueuedCall,
+    ) -> Result<(u64, oneshot::Receiver<UpstreamSlot>), CallError> {
+        if self.expected_wait(request) > request.wait.as_secs_f64() {
+            return Err(self.overloaded(request));
+        }
+        let queue = self.queues.entry(request.service.to_owned()).or_default();
+        let Some(ticket) = queue.push(call) else {
+            return Err(self.overloaded(request));
+        };
+        let (waker, waiter) = oneshot::channel();
+        let key = (request.service.to_owned(), ticket);
+        self.wakers.insert(key, waker);
+        Ok((ticket, waiter))
+    }
+
+    fn overloaded(&self, request: &AdmitRequest<'_>) -> CallError {
+        let wait = self.expected_wait(request).min(LONGEST_RETRY_S);
+        let message = format!("all upstreams of {} are busy", request.service);
+        CallError::new(ErrorKind::Overloaded, message)
+            .with_retry_after(wait.ceil().max(1.0) as u32)
+    }
+
+    /// Seconds until a new request would be served.
+    fn expected_wait(&self, request: &AdmitRequest<'_>) -> f64 {
+        let queue = self.queues.get(request.service);
+        let ahead = queue.map_or(0, |queue| queue.ahead_of(request.class));
+        let duration = self.durations.get(request.service);
+        let duration = duration.copied().unwrap_or(0.0);
+        let mut slots = 0;
+        for entry in self.upstreams.values() {
+            let view = &entry.view;
+            if view.service == request.service && !entry.removed {
+                slots += view.share;
+            }
+        }
+        (ahead as f64 + 1.0) * duration / f64::from(slots.max(1))
+    }
+
+    /// Takes the next waiting call that a free slot fits.
+    fn serve_next(&mut self, service: &str) -> Option<ServedCall> {
+        loop {
+            let queue = self.queues.get(service)?;
+            let accounts = &self.accounts;
+            let count = |name: &str| accounts.get(name).copied().unwrap_or(0);
+            let fits =
+                |call: &QueuedCall| self.best_free(service, call).is_some();
+            let ticket = queue.next(Instant::now(), count, fits)?;
+            let call = self.queues.get_mut(service)?.take(ticket)?;
+            let waker = self.wakers.remove(&(service.to_owned(), ticket));
+            let Some(waker) = waker else {
+                continue;
+            };
+            let view = self.occupy(service, &call)?;
+            return Some((waker, view, call));
+        }
+    }
+}
+
+fn no_upstream(request: &AdmitRequest<'_>) -> CallError {
+    let AdmitRequest { service, version, .. } = request;
+    let message = format!("no live upstream runs {service} {version}");
+    CallError::new(ErrorKind::NoUpstream, message)
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,186 @@
+//! Metrics of a router.
+
+use std::{cell::RefCell, collections::BTreeSet, time::Duration};
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Client accounts with label values of their own. Further ones share the
+/// value `other`, so that the number of series is bounded.
+const LABELLED_ACCOUNTS: usize = 64;
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.83, 1.5, 3.0, 10.0, 30.0];
+
+/// Upper bounds of the buckets for the time between tokens, in seconds.
+const TOKEN_GAP_BUCKETS: &[f64] =
+    &[0.005, 0.01, 0.02, 0.04, 0.078, 0.15, 0.3, 1.0];
+
+/// The metrics of one router.
+pub struct RouterMetrics {
+    registry: Registry,
+    accounts: RefCell<BTreeSet<String>>,
+    first_token: HistogramVec,
+    token_gap: HistogramVec,
+    duration: HistogramVec,
+    answers: IntCounterVec,
+    tokens: IntCounterVec,
+    events: IntCounterVec,
+    /// Bytes held in memory for slow readers.
+    pub held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+}
+
+impl RouterMetrics {
+    /// Creates the metrics with a registry of their own.
+    ///
+    /// # Panics
+    ///
+    /// If two metrics share a name, which the tests would show.
+    pub fn new() -> RouterMetrics {
+        let labels = &["account", "class"];
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let opts = HistogramOpts::new(name, help);
+            let opts = opts.buckets(buckets.to_vec());
+            HistogramVec::new(opts, labels).expect("valid histogram")
+        };
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let opts = Opts::new(name, help);
+            IntCounterVec::new(opts, labels).expect("valid counter")
+        };
+        let gauge = |name: &str, help: &str| {
+            IntGauge::new(name, help).expect("valid gauge")
+        };
+        let metrics = RouterMetrics {
+            registry: Registry::new(),
+            accounts: RefCell::default(),
+            first_token: histogram(
+                "magnolia_first_token_seconds",
+                "Time from the request to the first event of its answer.",
+                LATENCY_BUCKETS,
+            ),
+            token_gap: histogram(
+                "magnolia_token_gap_seconds",
+                "Time between two events of an answer.",
+                TOKEN_GAP_BUCKETS,
+            ),
+            duration: histogram(
+                "magnolia_request_seconds",
+                "Time from the request to the end of its answer.",
+                LATENCY_BUCKETS,
+            ),
+            answers: counter(
+                "magnolia_answers_total",
+                "Answers by client account and kind; ok for success.",
+                &["account", "kind"],
+            ),
+            tokens: counter(
+                "magnolia_billed_tokens_total",
+                "Tokens billed by client account.",
+                &["account"],
+            ),
+            events: counter(
+                "magnolia_events_total",
+                "Internal events by name.",
+                &["event"],
+            ),
+            held_bytes: gauge(
+                "magnolia_held_bytes",
+                "Bytes held in memory for slow readers.",
+            ),
+            connections: gauge(
+                "magnolia_connections",
+                "Open connections of callers.",
+            ),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let collectors: Vec<Box<dyn prometheus::core::Collector>> = vec![
+            Box::new(self.first_token.clone()),
+            Box::new(self.token_gap.clone()),
+            Box::new(self.duration.clone()),
+            Box::new(self.answers.clone()),
+            Box::new(self.tokens.clone()),
+            Box::new(self.events.clone()),
+            Box::new(self.held_bytes.clone()),
+            Box::new(self.connections.clone()),
+        ];
+        for collector in collectors {
+            // Every name above is used once.
+            self.registry.register(collector).expect("distinct name");
+        }
+    }
+
+    /// The label value of a client account.
+    fn label<'a>(&self, account: &'a str) -> &'a str {
+        let mut accounts = self.accounts.borrow_mut();
+        if accounts.contains(account) {
+            return account;
+        }
+        if accounts.len() >= LABELLED_ACCOUNTS || account.is_empty() {
+            return "other";
+        }
+        accounts.insert(account.to_owned());
+        account
+    }
+
+    /// Notes the time to the first event of an answer.
+    pub fn note_first_token(&self, account: &str, class: &str, t: Duration) {
+        let labels = [self.label(account), class];
+        let histogram = self.first_token.with_label_values(&labels);
+        histogram.observe(t.as_secs_f64());
+    }
+
+    /// Notes the time between two events of an answer.
+    pub fn note_token_gap(&self, account: &str, class: &str, t: Duration) {
+        let labels = [self.label(account), class];
+        let histogram = self.token_gap.with_label_values(&labels);
+        histogram.observe(t.as_secs_f64());
+    }
+
+    /// Notes the whole duration of a request.
+    pub fn note_duration(&self, account: &str, class: &str, t: Duration) {
+        let labels = [self.label(account), class];
+        let histogram = self.duration.with_label_values(&labels);
+        histogram.observe(t.as_secs_f64());
+    }
+
+    /// Counts an answer; `kind` is `ok` or the code of an error kind.
+    pub fn note_answer(&self, account: &str, kind: &str) {
+        let labels = [self.label(account), kind];
+        self.answers.with_label_values(&labels).inc();
+    }
+
+    /// Counts billed tokens.
+    pub fn note_tokens(&self, account: &str, tokens: u64) {
+        let labels = [self.label(account)];
+        self.tokens.with_label_values(&labels).inc_by(tokens);
+    }
+
+    /// Counts an internal event from a fixed set of names.
+    pub fn note_event(&self, event: &'static str) {
+        self.events.with_label_values(&[event]).inc();
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        // Writing to memory cannot fail.
+        let _ = TextEncoder::new().encode(&families, &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+impl Default for RouterMetrics {
+    fn default() -> RouterMetrics {
+        RouterMetrics::new()
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,9 @@
+//! Logs and metrics.
+
+mod logging;
+mod metrics;
+
+pub use self::{
+    logging::{LogContext, init_logging},
+    metrics::RouterMetrics,
+};
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the systems around magnoliahaven, for tests and the demo.
+//!
+//! They are no part of the product. Each one does just enough of what the
+//! real system does, and fails on demand.
+//!
+//! * [`log`]: the platform's append-only log and its list of VMs.
+//! * [`engine`]: a model engine with continuous batching, and a plain
+//!   service whose calls must not be repeated.
+//! * [`load`]: callers, for load tests and experiments.
+
+#![warn(missing_docs)]
+
+pub mod engine;
+pub mod load;
+pub mod log;
+pub mod server;
