Name grants by partition and offset

Cause: a grant was named by its offset alone, and the holder keyed its portions by that name. Two partitions give out the same offsets, so the second grant with an offset was taken for a repetition and dropped: its tokens stayed held and could not be spent. Ruled out: a lookup by budget, because a budget has several grants. Conclusion: portion names carry the partition, on the wire and in bills.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -59,6 +59,7 @@
             return wire::LendAnswer::default();
         };
         wire::LendAnswer {
+            partition: reply.portion.partition,
             grant: reply.portion.grant,
             number: reply.portion.number,
             tokens: reply.tokens,
@@ -71,7 +72,8 @@
         if answer.tokens == 0 {
             return None;
         }
-        let portion = PortionId::new(answer.grant, answer.number);
+        let portion =
+            PortionId::new(answer.partition, answer.grant, answer.number);
         Some(LendReply { portion, tokens: answer.tokens })
     }
 }
@@ -81,6 +83,7 @@
         let mut bills = Vec::with_capacity(batch.bills.len());
         for bill in batch.bills {
             bills.push(wire::Bill {
+                partition: bill.bill.portion.partition,
                 grant: bill.bill.portion.grant,
                 portion: bill.bill.portion.number,
                 number: bill.bill.number,
@@ -102,7 +105,8 @@
             let Ok(upstream) = bill.upstream.parse() else {
                 continue;
             };
-            let portion = PortionId::new(bill.grant, bill.portion);
+            let portion =
+                PortionId::new(bill.partition, bill.grant, bill.portion);
             bills.push(RelayedBill {
                 budget: bill.budget,
                 bill: BillId::new(portion, bill.number),
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -28,6 +28,8 @@
     pub number: u32,
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    #[prost(uint32, tag = "4")]
+    pub partition: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Bill {
@@ -45,6 +47,8 @@
     pub upstream: ::prost::alloc::string::String,
     #[prost(uint64, optional, tag = "7")]
     pub tokens: ::core::option::Option<u64>,
+    #[prost(uint32, tag = "8")]
+    pub partition: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayCall {
--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -265,7 +265,7 @@
         let portion = self.portions.get_mut(&id)?;
         portion.tokens -= tokens;
         portion.last_lent += 1;
-        let lent = PortionId::new(id.grant, portion.last_lent);
+        let lent = PortionId { number: portion.last_lent, ..id };
         let record = LendRecord { portion: lent, to: to.clone(), tokens };
         Some((LendReply { portion: lent, tokens }, record))
     }
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -25,7 +25,7 @@
     StandbyBook, Unsent, partition_of, partition_stream,
 };
 use crate::{
-    domain::{BillId, BudgetName, HolderId, account_of},
+    domain::{BillId, BudgetName, HolderId, PortionId, account_of},
     error::{CallError, ErrorKind},
     membership::VmDirectory,
     ports::{
@@ -866,7 +866,8 @@
                 };
                 for effect in followed.follower.feed(slice) {
                     let asked = &mut state.asked;
-                    take_effect(&mut state.holder, asked, &effect);
+                    let holder = &mut state.holder;
+                    take_effect(holder, asked, *partition, &effect);
                 }
             }
         }
@@ -1067,9 +1068,10 @@
 fn take_effect(
     holder: &mut GrantHolder,
     asked: &mut BTreeMap<String, Instant>,
+    partition: u32,
     effect: &FoldEffect,
 ) {
-    let FoldEffect::Granted { portion, record, tokens } = effect else {
+    let FoldEffect::Granted { grant, record, tokens } = effect else {
         return;
     };
     if record.holder != *holder.id() {
@@ -1077,7 +1079,8 @@
     }
     asked.remove(&record.budget);
     if *tokens > 0 {
-        holder.add(*portion, &record.budget, *tokens, Instant::now());
+        let portion = PortionId::new(partition, *grant, 0);
+        holder.add(portion, &record.budget, *tokens, Instant::now());
     }
 }
 
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -59,8 +59,8 @@
 pub enum FoldEffect {
     /// A grant was made; zero tokens mean that it was void.
     Granted {
-        /// The portion with which the grant starts.
-        portion: PortionId,
+        /// Offset of the grant's record.
+        grant: u64,
         /// The request.
         record: GrantRecord,
         /// The tokens given.
@@ -100,12 +100,15 @@
         record: GrantRecord,
         offset: u64,
     ) -> Option<FoldEffect> {
-        let portion = PortionId::new(offset, 0);
         let budget = self.budgets.get_mut(&record.budget);
         let free = budget.as_ref().map_or(0, |budget| budget.free);
         let tokens = grant_size(record.least, record.want, free);
         if tokens == 0 {
-            return Some(FoldEffect::Granted { portion, record, tokens });
+            return Some(FoldEffect::Granted {
+                grant: offset,
+                record,
+                tokens,
+            });
         }
         if let Some(budget) = budget {
             budget.free -= tokens;
@@ -116,11 +119,11 @@
             portions: BTreeMap::from([(0, state)]),
         };
         self.grants.insert(offset, grant);
-        Some(FoldEffect::Granted { portion, record, tokens })
+        Some(FoldEffect::Granted { grant: offset, record, tokens })
     }
 
     fn lend(&mut self, record: LendRecord) {
-        let PortionId { grant, number } = record.portion;
+        let PortionId { grant, number, .. } = record.portion;
         let Some(grant) = self.grants.get_mut(&grant) else {
             return;
         };
@@ -142,7 +145,7 @@
     }
 
     fn settle(&mut self, record: &SettleRecord) -> Option<FoldEffect> {
-        let PortionId { grant: offset, number } = record.portion;
+        let PortionId { grant: offset, number, .. } = record.portion;
         // A grant without open portions is forgotten, so that repetitions
         // of its settlements find nothing.
         let grant = self.grants.get_mut(&offset)?;
--- a/src/domain/ids.rs
+++ b/src/domain/ids.rs
@@ -15,6 +15,8 @@
     /// A part of a grant with a sole holder.
     #[derive(Copy, PartialOrd, Ord, Hash)]
     pub struct PortionId {
+        /// The account partition of the grant.
+        pub partition: u32,
         /// Offset of the grant's record.
         pub grant: u64,
         /// 0 for the grant's own holder, counting up for borrowers.
@@ -40,8 +42,8 @@
 
 impl PortionId {
     /// Creates the identity of a portion.
-    pub fn new(grant: u64, number: u32) -> PortionId {
-        PortionId { grant, number }
+    pub fn new(partition: u32, grant: u64, number: u32) -> PortionId {
+        PortionId { partition, grant, number }
     }
 }
 
@@ -54,12 +56,12 @@
 
 impl fmt::Display for BillId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let PortionId { grant, number } = self.portion;
-        write!(f, "{grant}.{number}.{}", self.number)
+        let PortionId { partition, grant, number } = self.portion;
+        write!(f, "{partition}.{grant}.{number}.{}", self.number)
     }
 }
 
-/// The text is not `GRANT.PORTION.NUMBER`.
+/// The text is not `PARTITION.GRANT.PORTION.NUMBER`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ParseBillError;
 
@@ -69,13 +71,14 @@
     fn from_str(text: &str) -> Result<BillId, ParseBillError> {
         let mut fields = text.split('.');
         let mut field = || fields.next().ok_or(ParseBillError);
+        let partition = field()?.parse().map_err(|_| ParseBillError)?;
         let grant = field()?.parse().map_err(|_| ParseBillError)?;
         let portion = field()?.parse().map_err(|_| ParseBillError)?;
         let number = field()?.parse().map_err(|_| ParseBillError)?;
         if fields.next().is_some() {
             return Err(ParseBillError);
         }
-        Ok(BillId::new(PortionId::new(grant, portion), number))
+        Ok(BillId::new(PortionId::new(partition, grant, portion), number))
     }
 }
 
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A *client account* owns prepaid *budgets*. A *holder* is one incarnation
 //! of a router on a VM. A *grant* moves tokens of a budget to a holder; the
-//! offset of its record in the log names it. A grant is split into
+//! partition and the offset of its record in the log name it. A grant is split into
 //! *portions*: number 0 stays with the holder, further ones are lent to
 //! other holders. Each *bill* is numbered within the portion that pays it.
 
