--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -150,12 +150,13 @@
 pub struct GrantHolder {
     id: HolderId,
     portions: BTreeMap<PortionId, HeldPortion>,
+    retired: BTreeSet<PortionId>,
 }
 
 impl GrantHolder {
     /// Creates a holder without portions.
     pub fn new(id: HolderId) -> GrantHolder {
-        GrantHolder { id, portions: BTreeMap::new() }
+        GrantHolder { id, portions: BTreeMap::new(), retired: BTreeSet::new() }
     }
 
     /// The identity of this incarnation.
@@ -165,7 +166,8 @@
 
     /// Books a portion that was read back from the log or lent by a peer.
     ///
-    /// A repetition has no effect.
+    /// A repetition has no effect, even after the portion was closed: a
+    /// reader that starts again from a checkpoint sees old records twice.
     pub fn add(
         &mut self,
         portion: PortionId,
@@ -173,6 +175,9 @@
         tokens: u64,
         now: Instant,
     ) {
+        if self.retired.contains(&portion) {
+            return;
+        }
         let held = || HeldPortion::new(budget, tokens, now);
         self.portions.entry(portion).or_insert_with(held);
     }
@@ -292,6 +297,7 @@
         mut wanted: impl FnMut(&str, u64, Instant) -> bool,
     ) -> Vec<HeldSettlement> {
         let mut records = Vec::new();
+        let retired = &mut self.retired;
         self.portions.retain(|id, portion| {
             let available = portion.available();
             if !portion.open.is_empty()
@@ -300,6 +306,7 @@
                 return true;
             }
             records.push(portion.settlement(*id, true));
+            retired.insert(*id);
             false
         });
         records
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -1071,16 +1071,25 @@
     partition: u32,
     effect: &FoldEffect,
 ) {
-    let FoldEffect::Granted { grant, record, tokens } = effect else {
-        return;
-    };
-    if record.holder != *holder.id() {
-        return;
-    }
-    asked.remove(&record.budget);
-    if *tokens > 0 {
-        let portion = PortionId::new(partition, *grant, 0);
-        holder.add(portion, &record.budget, *tokens, Instant::now());
+    let now = Instant::now();
+    match effect {
+        FoldEffect::Granted { grant, record, tokens } => {
+            if record.holder != *holder.id() {
+                return;
+            }
+            asked.remove(&record.budget);
+            if *tokens > 0 {
+                let portion = PortionId::new(partition, *grant, 0);
+                holder.add(portion, &record.budget, *tokens, now);
+            }
+        }
+        // The answer to a loan may have been lost; the log has it too.
+        FoldEffect::Lent { budget, record } => {
+            if record.to == *holder.id() {
+                holder.add(record.portion, budget, record.tokens, now);
+            }
+        }
+        FoldEffect::Closed { .. } => {}
     }
 }
 
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -9,6 +9,9 @@
 };
 use crate::{domain::PortionId, ports::LogRecord, streams::StreamFold};
 
+/// Most settlements that wait for the record of their loan, for a grant.
+const EARLY_SETTLEMENTS: usize = 256;
+
 /// How a checkpoint record begins, so that others need no decoding.
 const CHECKPOINT_PREFIX: &str = "{\"checkpoint\"";
 
@@ -35,6 +38,10 @@
         pub budget: String,
         /// The portions by number.
         pub portions: BTreeMap<u32, PortionState>,
+        /// Settlements of portions whose loan has not been recorded yet. A
+        /// standby may settle for a borrower before the lender's record.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub early: Vec<SettleRecord>,
     }
 
     /// The state of an account partition after a prefix of its stream.
@@ -66,6 +73,13 @@
         /// The tokens given.
         tokens: u64,
     },
+    /// A portion was split off a grant.
+    Lent {
+        /// The budget.
+        budget: String,
+        /// The new portion.
+        record: LendRecord,
+    },
     /// A portion was closed, and its rest is free again.
     Closed {
         /// The portion.
@@ -117,31 +131,37 @@
         let grant = GrantState {
             budget: record.budget.clone(),
             portions: BTreeMap::from([(0, state)]),
+            early: Vec::new(),
         };
         self.grants.insert(offset, grant);
         Some(FoldEffect::Granted { grant: offset, record, tokens })
     }
 
-    fn lend(&mut self, record: LendRecord) {
+    fn lend(&mut self, record: LendRecord) -> Option<FoldEffect> {
         let PortionId { grant, number, .. } = record.portion;
-        let Some(grant) = self.grants.get_mut(&grant) else {
-            return;
-        };
+        let grant = self.grants.get_mut(&grant)?;
         // Lender and borrower both write the record, so that the second one
         // to arrive finds the portion in place.
         if number == 0 || grant.portions.contains_key(&number) {
-            return;
+            return None;
         }
-        let Some(own) = grant.portions.get_mut(&0) else {
-            return;
-        };
+        let own = grant.portions.get_mut(&0)?;
         if own.closed || own.remainder() < record.tokens {
             self.refused += 1;
-            return;
+            return None;
         }
         own.tokens -= record.tokens;
-        let state = PortionState::new(record.to, record.tokens);
+        let state = PortionState::new(record.to.clone(), record.tokens);
         grant.portions.insert(number, state);
+        let budget = grant.budget.clone();
+        let portion = record.portion;
+        let settles_it = |early: &mut SettleRecord| early.portion == portion;
+        let early: Vec<SettleRecord> =
+            grant.early.extract_if(.., settles_it).collect();
+        for settlement in &early {
+            self.settle(settlement);
+        }
+        Some(FoldEffect::Lent { budget, record })
     }
 
     fn settle(&mut self, record: &SettleRecord) -> Option<FoldEffect> {
@@ -150,7 +170,11 @@
         // of its settlements find nothing.
         let grant = self.grants.get_mut(&offset)?;
         let Some(portion) = grant.portions.get_mut(&number) else {
-            self.refused += 1;
+            if grant.early.len() < EARLY_SETTLEMENTS {
+                grant.early.push(record.clone());
+            } else {
+                self.refused += 1;
+            }
             return None;
         };
         if portion.closed {
@@ -266,7 +290,7 @@
             AccountRecord::Grant(grant) => {
                 return self.grant(grant, record.offset);
             }
-            AccountRecord::Lend(lend) => self.lend(lend),
+            AccountRecord::Lend(lend) => return self.lend(lend),
             AccountRecord::Settle(settle) => return self.settle(&settle),
             AccountRecord::Intent(intent) => {
                 self.intent(intent, record.time_ms)
