--- a/tests/budget_differential.rs
+++ b/tests/budget_differential.rs
@@ -167,17 +167,17 @@
         for record in self.log.iter().skip(from).take(records) {
             let now = Instant::now();
             match node.ledger.apply(record) {
-                Some(FoldEffect::Granted { grant, record, tokens }) => {
-                    if record.holder == *node.holder.id() && tokens > 0 {
-                        let portion = PortionId::new(PARTITION, grant, 0);
-                        node.holder.add(portion, BUDGET, tokens, now);
-                    }
+                Some(FoldEffect::Granted { grant, record, tokens })
+                    if record.holder == *node.holder.id() && tokens > 0 =>
+                {
+                    let portion = PortionId::new(PARTITION, grant, 0);
+                    node.holder.add(portion, BUDGET, tokens, now);
                 }
-                Some(FoldEffect::Lent { record, .. }) => {
-                    if record.to == *node.holder.id() {
-                        let LendRecord { portion, tokens, .. } = record;
-                        node.holder.add(portion, BUDGET, tokens, now);
-                    }
+                Some(FoldEffect::Lent { record, .. })
+                    if record.to == *node.holder.id() =>
+                {
+                    let LendRecord { portion, tokens, .. } = record;
+                    node.holder.add(portion, BUDGET, tokens, now);
                 }
                 _ => {}
             }
