--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -133,8 +133,11 @@
             let reason = "a response without a body length".to_owned();
             return Err(HttpFault::Malformed { reason });
         }
+        let closes = head.headers.get(http::header::CONNECTION);
+        let closes = closes.is_some_and(|value| value == "close");
         let body = ReplyBody {
             connection: Some(connection),
+            keeps_alive: !closes,
             decoder: ChunkedBodyDecoder::default(),
             length,
             address,
@@ -218,6 +221,7 @@
 /// back the remote end instead of filling memory.
 pub struct ReplyBody {
     connection: Option<HttpConnection>,
+    keeps_alive: bool,
     decoder: ChunkedBodyDecoder,
     length: BodyLength,
     address: SocketAddr,
@@ -255,7 +259,9 @@
         if part.is_none() || self.length != BodyLength::Chunked {
             // The borrow above proves that the connection is still here.
             let connection = self.connection.take().expect("connection");
-            self.client.put_idle(self.address, connection);
+            if self.keeps_alive {
+                self.client.put_idle(self.address, connection);
+            }
         }
         Ok(part)
     }
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -56,6 +56,7 @@
 pub struct HttpResponder {
     writer: OwnedWriteHalf<TcpStream>,
     begun: bool,
+    closing: bool,
 }
 
 impl HttpConnection {
@@ -65,7 +66,11 @@
         limits: MessageLimits,
     ) -> (RequestReader, HttpResponder) {
         let reader = RequestReader { reader: self.reader, limits };
-        let responder = HttpResponder { writer: self.writer, begun: false };
+        let responder = HttpResponder {
+            writer: self.writer,
+            begun: false,
+            closing: false,
+        };
         (reader, responder)
     }
 }
@@ -108,16 +113,28 @@
     }
 
     /// Makes the responder ready for the next request.
-    pub fn reset(&mut self) {
+    ///
+    /// With `closing` the response announces the end of the connection, so
+    /// that the caller does not send another request into it.
+    pub fn reset(&mut self, closing: bool) {
         self.begun = false;
+        self.closing = closing;
+    }
+
+    fn announce_close<B>(&self, response: &mut Response<B>) {
+        if self.closing {
+            let value = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, value);
+        }
     }
 
     /// Sends a whole response.
     pub async fn send(
         &mut self,
-        response: Response<Bytes>,
+        mut response: Response<Bytes>,
     ) -> Result<(), HttpFault> {
         self.begun = true;
+        self.announce_close(&mut response);
         let message = response.map(payload_of);
         let encoded = encode_message(message).await?;
         write_all(&mut self.writer, encoded).await
@@ -126,19 +143,19 @@
     /// Sends a whole response and announces the end of the connection.
     pub async fn send_last(
         &mut self,
-        mut response: Response<Bytes>,
+        response: Response<Bytes>,
     ) -> Result<(), HttpFault> {
-        let value = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, value);
+        self.closing = true;
         self.send(response).await
     }
 
     /// Sends the head of a chunked response.
     pub async fn start_stream(
         &mut self,
-        head: Response<()>,
+        mut head: Response<()>,
     ) -> Result<StreamWriter<'_>, HttpFault> {
         self.begun = true;
+        self.announce_close(&mut head);
         let encoded = encode_stream_head(head).await?;
         write_all(&mut self.writer, encoded).await?;
         Ok(StreamWriter { writer: &mut self.writer })
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
 use super::{
     AccountLedger, AccountRecord, CallOutcome, CheckpointRecord, FoldEffect,
@@ -78,6 +78,9 @@
 /// Peers that are tried until one keeps this router's notes.
 const STANDBY_TRIES: usize = 2;
 
+/// Longest wait of a request for the standby.
+const RELAY_TIME: Duration = Duration::from_millis(50);
+
 /// Time between two looks for routers that have died.
 const RECOVER_PERIOD: Duration = Duration::from_millis(500);
 
@@ -167,12 +170,18 @@
     asked: BTreeMap<String, Instant>,
     prewarmed: BTreeSet<String>,
     bills: Vec<BillLine>,
-    relays: Vec<RelayedBill>,
+    relays: Vec<PendingRelay>,
     standby: StandbyBook,
     last_attempt: u64,
     appends: u64,
 }
 
+/// A note for the standby, and who waits for its arrival.
+struct PendingRelay {
+    bill: RelayedBill,
+    arrived: Option<oneshot::Sender<()>>,
+}
+
 /// How to obtain tokens that no portion of this router can give.
 enum AcquirePlan {
     /// A grant has been asked for. If it does not come back soon, the log
@@ -575,9 +584,23 @@
         self.state.borrow_mut().outbox.push(partition, record);
     }
 
-    /// Tells the standby that a request has left, or has ended.
-    pub fn relay(&self, bill: RelayedBill) {
-        self.state.borrow_mut().relays.push(bill);
+    /// Tells the standby that a request is about to leave, and waits
+    /// briefly until it knows.
+    ///
+    /// A request that the standby does not know could not be billed if this
+    /// router died. A standby that does not answer delays nobody for long.
+    pub async fn relay_open(&self, bill: RelayedBill) {
+        let (arrived, waiter) = oneshot::channel();
+        let arrived = Some(arrived);
+        self.state.borrow_mut().relays.push(PendingRelay { bill, arrived });
+        self.relayed.notify_one();
+        let _ = monoio::time::timeout(RELAY_TIME, waiter).await;
+    }
+
+    /// Tells the standby that a request has ended.
+    pub fn relay_end(&self, bill: RelayedBill) {
+        let pending = PendingRelay { bill, arrived: None };
+        self.state.borrow_mut().relays.push(pending);
         self.relayed.notify_one();
     }
 
@@ -590,11 +613,16 @@
     pub async fn run_relay(self: Rc<Self>) {
         loop {
             self.relayed.notified().await;
-            self.ports.timer.sleep(GROUP_DELAY).await;
-            let bills = std::mem::take(&mut self.state.borrow_mut().relays);
-            if bills.is_empty() {
+            let pending = std::mem::take(&mut self.state.borrow_mut().relays);
+            if pending.is_empty() {
                 continue;
             }
+            let mut bills = Vec::with_capacity(pending.len());
+            let mut waiters = Vec::new();
+            for relay in pending {
+                bills.push(relay.bill);
+                waiters.extend(relay.arrived);
+            }
             let holder = self.id();
             let call = PeerCall::Relay(RelayBatch { holder, bills });
             for peer in self.standby_peers() {
@@ -602,6 +630,10 @@
                     break;
                 }
             }
+            for waiter in waiters {
+                // A request that has stopped waiting is under way.
+                let _ = waiter.send(());
+            }
         }
     }
 
@@ -637,10 +669,9 @@
         let ticks = self.ports.timer.subscribe(RECOVER_PERIOD);
         loop {
             ticks.tick().await;
-            let settle_time = self.options.settle_interval * 4;
             let bills = {
                 let mut state = self.state.borrow_mut();
-                state.standby.forget_settled(settle_time);
+                state.standby.forget_settled();
                 state.standby.take_gone(&gone)
             };
             for bill in bills {
@@ -649,10 +680,27 @@
         }
     }
 
+    /// Whether the log has a bill already, as far as it can be read.
+    async fn is_settled(&self, budget: &BudgetName, bill: BillId) -> bool {
+        let account = budget.account();
+        self.follow_account(account);
+        let deadline = Instant::now() + self.options.claim_time;
+        if !self.wait_ready(account, deadline).await {
+            return false;
+        }
+        let state = self.state.borrow();
+        let followed = state.partitions.get(&self.partition(account));
+        let ledger = followed.and_then(|f| f.follower.fold());
+        ledger.is_some_and(|ledger| ledger.is_settled(bill))
+    }
+
     async fn recover(&self, bill: &RelayedBill) {
         let Some(budget) = BudgetName::parse(&bill.budget) else {
             return;
         };
+        if self.is_settled(&budget, bill.bill).await {
+            return;
+        }
         let tokens = match bill.tokens {
             Some(tokens) => tokens,
             None => {
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -7,7 +7,11 @@
     IntentState, KEY_LIFETIME_MS, LendRecord, OutcomeRecord, PortionState,
     SettleRecord, TopUpRecord, grant_size,
 };
-use crate::{domain::PortionId, ports::LogRecord, streams::StreamFold};
+use crate::{
+    domain::{BillId, PortionId},
+    ports::LogRecord,
+    streams::StreamFold,
+};
 
 /// Most settlements that wait for the record of their loan, for a grant.
 const EARLY_SETTLEMENTS: usize = 256;
@@ -257,6 +261,20 @@
         held
     }
 
+    /// Whether a bill is final here, or can never become so any more.
+    pub fn is_settled(&self, bill: BillId) -> bool {
+        let PortionId { grant: offset, number, .. } = bill.portion;
+        let Some(grant) = self.grants.get(&offset) else {
+            return self.next > offset;
+        };
+        let Some(portion) = grant.portions.get(&number) else {
+            return false;
+        };
+        portion.closed
+            || bill.number <= portion.upto
+            || portion.beyond.contains_key(&bill.number)
+    }
+
     /// Whether every budget's tokens are accounted for: free, held or spent.
     pub fn is_balanced(&self) -> bool {
         for (name, budget) in &self.budgets {
--- a/src/budget/standby.rs
+++ b/src/budget/standby.rs
@@ -18,7 +18,11 @@
 };
 
 /// Most bills kept for one router.
-const KEPT_BILLS: usize = 20_000;
+const KEPT_BILLS: usize = 60_000;
+
+/// Time for which a bill that has ended is kept. It covers an hour without
+/// the log and the time until a death is noticed.
+const KEPT_TIME: Duration = Duration::from_secs(2 * 3600);
 
 struct KeptBill {
     bill: RelayedBill,
@@ -51,11 +55,11 @@
     }
 
     /// Drops ended bills that their router has had time to settle.
-    pub fn forget_settled(&mut self, settle_time: Duration) {
+    pub fn forget_settled(&mut self) {
         for bills in self.kept.values_mut() {
             bills.retain(|_, kept| {
                 let ended = kept.bill.tokens.is_some();
-                !ended || kept.since.elapsed() < settle_time
+                !ended || kept.since.elapsed() < KEPT_TIME
             });
         }
         self.kept.retain(|_, bills| !bills.is_empty());
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -185,6 +185,33 @@
         state.own.counter += 1;
     }
 
+    /// Notes that a router has sent something.
+    ///
+    /// Its death can then be noticed, even if it was never probed; and one
+    /// that was held for dead, because it was frozen or cut off, is not any
+    /// more.
+    pub fn note_alive(&self, id: &HolderId) {
+        let mut state = self.state.borrow_mut();
+        let known = state.members.get(&id.vm).map(|entry| &entry.news);
+        let mut news = MemberNews {
+            id: id.clone(),
+            status: MemberStatus::Alive,
+            counter: 0,
+            full: false,
+        };
+        if let Some(known) = known.filter(|known| known.id == *id) {
+            let doubted = matches!(
+                known.status,
+                MemberStatus::Suspect | MemberStatus::Dead
+            );
+            if !doubted {
+                return;
+            }
+            news.counter = known.counter + 1;
+        }
+        state.merge(&news);
+    }
+
     /// Waits for a peer that knows more of the shared state.
     pub async fn wait_ahead(&self) -> SocketAddr {
         loop {
@@ -195,6 +222,13 @@
         }
     }
 
+    /// Sends a message to every other router, one after another.
+    pub async fn tell_all(&self, peers: &dyn PeerPort) {
+        for vm in self.others() {
+            self.ping(peers, &vm).await;
+        }
+    }
+
     /// Makes the next message of this router.
     pub fn message(&self) -> PingMessage {
         let mut state = self.state.borrow_mut();
@@ -213,6 +247,9 @@
 
     /// Takes a message of a peer.
     pub fn take(&self, message: &PingMessage) {
+        if let Some(sender) = message.news.first() {
+            self.note_alive(&sender.id);
+        }
         let mut state = self.state.borrow_mut();
         for news in &message.news {
             state.merge(news);
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -81,8 +81,10 @@
                 return;
             }
         };
-        responder.reset();
+        // Callers are told that a connection ends. One that ended without
+        // a word would cut off a request that is under way to it.
         let keeps = request.keeps_alive() && !core.leaving.get();
+        responder.reset(!keeps);
         core.in_progress.set(core.in_progress.get() + 1);
         let served =
             serve_request(core, &request, &mut reader, &mut responder).await;
--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -364,7 +364,8 @@
         };
         self.mark_sent();
         self.last_address = Some(view.address);
-        relay_bill(core, self.chat, self.bill, view.address, None);
+        let note = relayed_bill(self.chat, self.bill, view.address, None);
+        core.keeper.relay_open(note).await;
         let call = self.upstream_call();
         let sent_at = Instant::now();
         let reply = match link.send(call.clone()).await {
@@ -520,21 +521,20 @@
     format!("chat/{}/{mode}", chat.identity.class.name())
 }
 
-/// Tells the standby where a request runs, or how it ended.
-fn relay_bill(
-    core: &RouterCore,
+/// What the standby is told about a request.
+fn relayed_bill(
     chat: &ChatCall,
     bill: BillId,
     upstream: SocketAddr,
     tokens: Option<u64>,
-) {
-    core.keeper.relay(RelayedBill {
+) -> RelayedBill {
+    RelayedBill {
         budget: chat.identity.budget.as_str().to_owned(),
         bill,
         request_id: chat.request_id.clone(),
         upstream,
         tokens,
-    });
+    }
 }
 
 /// Bills a request, once.
@@ -556,7 +556,8 @@
     };
     let id = sent.bill();
     let line = core.keeper.settle(sent, tokens, line);
-    relay_bill(core, chat, id, address, Some(line.tokens));
+    let note = relayed_bill(chat, id, address, Some(line.tokens));
+    core.keeper.relay_end(note);
     let account = chat.identity.budget.account();
     core.metrics.note_tokens(account, line.tokens);
 }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -32,6 +32,7 @@
                     PeerAnswer::Lent(self.keeper.lend(&request))
                 }
                 PeerCall::Relay(batch) => {
+                    self.members.note_alive(&batch.holder);
                     self.keeper.keep_for(&batch);
                     PeerAnswer::Done
                 }
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -44,6 +44,16 @@
 /// How often a leaving router looks at what is still in progress.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 
+/// Time for which a leaving router accepts callers beyond the lifetime of
+/// an entry answer. Routers that have not heard of it yet may name it still.
+const LEAVE_MARGIN: Duration = Duration::from_secs(3);
+
+/// Longest wait for an address that another process still uses.
+const LISTEN_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two attempts to use an address.
+const LISTEN_POLL: Duration = Duration::from_millis(50);
+
 /// Longest time for the last settlements of a leaving router.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
 
@@ -92,8 +102,7 @@
         settings: RouterSettings,
     ) -> Result<RouterProcess<Starting>, StartFault> {
         let address = settings.listen.peers;
-        let link =
-            PeerLink::start(address).context(ListenSnafu { address })?;
+        let link = listen(address, PeerLink::start)?;
         let client = HttpClient::new();
         let log =
             Rc::new(LogClient::new(client.clone(), settings.log.address));
@@ -122,12 +131,9 @@
     ///
     /// `Listen` if an address cannot be used.
     pub fn start(mut self) -> Result<RouterProcess<Serving>, StartFault> {
-        let listen = &self.core.settings.listen;
-        let bind = |address: SocketAddr| {
-            TcpListener::bind(address).context(ListenSnafu { address })
-        };
-        let callers = bind(listen.callers)?;
-        let operators = bind(listen.operators)?;
+        let addresses = &self.core.settings.listen;
+        let callers = listen(addresses.callers, TcpListener::bind)?;
+        let operators = listen(addresses.operators, TcpListener::bind)?;
         let core = &self.core;
         monoio::spawn(core.timer.clone().run());
         monoio::spawn(control::run_control(core.clone()));
@@ -155,7 +161,7 @@
         let stop = self.stop_listening.clone();
         let listening = callers::run_listener(core.clone(), callers, stop);
         monoio::spawn(listening);
-        log::info!("router serves callers on {}", listen.callers);
+        log::info!("router serves callers on {}", addresses.callers);
         Ok(self.into_state())
     }
 }
@@ -181,6 +187,10 @@
         log::info!("router leaves");
         self.core.leaving.set(true);
         self.core.members.set_leaving();
+        let core = self.core.clone();
+        monoio::spawn(async move {
+            core.members.tell_all(core.ports.peers.as_ref()).await;
+        });
         self.into_state()
     }
 }
@@ -192,7 +202,7 @@
     /// the lifetime of the answer. Streams are finished without a limit. A
     /// second signal logs what would be lost, a third one stops at once.
     pub async fn finish(mut self) -> bool {
-        let grace = self.core.settings.entry_lifetime;
+        let grace = self.core.settings.entry_lifetime + LEAVE_MARGIN;
         let accept_until = Instant::now() + grace;
         let mut signals_seen = 1;
         loop {
@@ -229,6 +239,25 @@
     }
 }
 
+/// Opens a listener, waiting for a process that is about to end.
+fn listen<T>(
+    address: SocketAddr,
+    bind: impl Fn(SocketAddr) -> io::Result<T>,
+) -> Result<T, StartFault> {
+    let deadline = Instant::now() + LISTEN_TIME;
+    loop {
+        let bound = bind(address);
+        let in_use = matches!(
+            &bound,
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse
+        );
+        if !in_use || Instant::now() >= deadline {
+            return bound.context(ListenSnafu { address });
+        }
+        std::thread::sleep(LISTEN_POLL);
+    }
+}
+
 /// Joins signals of the process and of operators.
 fn merge_signals(
     mut process: mpsc::Receiver<ProcessSignal>,
--- a/standins/src/engine/handler.rs
+++ b/standins/src/engine/handler.rs
@@ -2,7 +2,9 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::poll_fn,
     rc::Rc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -15,7 +17,7 @@
         },
         upstream::{
             BILL_HEADER, CANCEL_PATH, LOAD_HEADER, PRIOR_HEADER,
-            REQUEST_ID_HEADER, RESUME_HEADER,
+            PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
         },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -53,6 +55,8 @@
     pub fail_percent: u32,
     /// Only requests whose prompt or path contains this text fail.
     pub fail_only: String,
+    /// Only requests of this priority fail.
+    pub fail_priority: Option<u8>,
     /// Requests before the first failure.
     pub fail_after: u64,
     /// Every step takes this many times as long; 0 means 1.
@@ -125,12 +129,16 @@
     }
 
     /// Whether the next request fails.
-    fn fails(&self, text: &str) -> bool {
+    fn fails(&self, text: &str, request: &HttpRequest) -> bool {
         let faults = self.faults.borrow();
         let number = self.requests.get() + 1;
         self.requests.set(number);
         self.last_request.set(Some(Instant::now()));
-        let concerned = text.contains(&faults.fail_only);
+        let priority = request.header(PRIORITY_HEADER);
+        let priority = priority.and_then(|text| text.parse().ok());
+        let concerned = text.contains(&faults.fail_only)
+            && (faults.fail_priority.is_none()
+                || faults.fail_priority == priority);
         if !concerned || number <= faults.fail_after {
             return false;
         }
@@ -151,6 +159,10 @@
             let factor = if slow { faults.slow_factor.max(1) } else { 1 };
             load.step() * factor
         };
+        if step.is_zero() {
+            yield_now().await;
+            return;
+        }
         monoio::time::sleep(step).await;
     }
 
@@ -176,7 +188,7 @@
             let response = json_response(400, &json!({"error": "malformed"}));
             return responder.send(response).await.is_ok();
         };
-        if self.fails(&prompt.text) {
+        if self.fails(&prompt.text, request) {
             let response = json_response(500, &json!({"error": "fault"}));
             return responder.send(response).await.is_ok();
         }
@@ -290,7 +302,7 @@
     ) -> bool {
         let _running = self.run();
         self.step().await;
-        if self.fails(request.path()) {
+        if self.fails(request.path(), request) {
             let response = json_response(500, &json!({"error": "fault"}));
             return responder.send(response).await.is_ok();
         }
@@ -369,6 +381,20 @@
     }
 }
 
+/// Lets the other tasks of the thread run.
+async fn yield_now() {
+    let mut yielded = false;
+    poll_fn(|context| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 fn usage(prompt: &ChatPrompt) -> serde_json::Value {
     json!({
         "prompt_tokens": prompt.tokens(),
--- a/standins/src/fleet/setup.rs
+++ b/standins/src/fleet/setup.rs
@@ -340,6 +340,11 @@
             self.plan.entry_lifetime.as_millis(),
             self.plan.settings,
         );
+        let mut seeds = Vec::new();
+        for router in &self.routers {
+            seeds.push(router.peer_relay.address().to_string());
+        }
+        let _ = writeln!(text, "seeds: {seeds:?}");
         let settings = self.folder.join(format!("router-{number}.yaml"));
         fs::write(&settings, text)?;
         let process = self.run_router(number, &settings)?;
--- a/standins/src/server/mod.rs
+++ b/standins/src/server/mod.rs
@@ -1,6 +1,12 @@
 //! A minimal HTTP server for stand-ins.
 
-use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use {
     magnoliahaven::adapters::http::{
@@ -16,6 +22,12 @@
 /// Largest body that a stand-in takes, in bytes.
 const BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Longest wait for an address that another process still uses.
+const BIND_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two attempts to use an address.
+const BIND_POLL: Duration = Duration::from_millis(50);
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 4096;
 
@@ -39,8 +51,7 @@
     listen: SocketAddr,
     handler: Rc<H>,
 ) -> io::Result<()> {
-    let opts = ListenerOpts::new().backlog(BACKLOG);
-    let listener = TcpListener::bind_with_config(listen, &opts)?;
+    let listener = bind(listen).await?;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             monoio::time::sleep(Duration::from_millis(10)).await;
@@ -50,6 +61,26 @@
     }
 }
 
+/// Opens a listener, waiting for a process that is about to end.
+///
+/// The program that chose the port has probed it, and a process that it
+/// starts at the same time holds the probe until it runs its own program.
+async fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let opts = ListenerOpts::new().backlog(BACKLOG);
+    let deadline = Instant::now() + BIND_TIME;
+    loop {
+        let bound = TcpListener::bind_with_config(listen, &opts);
+        let in_use = matches!(
+            &bound,
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse
+        );
+        if !in_use || Instant::now() >= deadline {
+            return bound;
+        }
+        monoio::time::sleep(BIND_POLL).await;
+    }
+}
+
 async fn serve_connection<H: StandinHandler>(
     stream: TcpStream,
     handler: Rc<H>,
@@ -60,7 +91,7 @@
     let connection = HttpConnection::new(stream);
     let (mut reader, mut responder) = connection.into_server(limits);
     while let Ok(request) = reader.next_request(IDLE_TIME).await {
-        responder.reset();
+        responder.reset(false);
         let handler = handler.clone();
         if !handler.handle(request, &mut reader, &mut responder).await {
             return;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -227,8 +227,7 @@
         (0..2u64, 0..3usize)
             .prop_map(|(behind, preset)| Step::Change { behind, preset }),
         any::<bool>().prop_map(|from| Step::Start { from }),
-        (0..3u8, 0..2u64)
-            .prop_map(|(vm, behind)| Step::Lease { vm, behind }),
+        (0..3u8, 0..2u64).prop_map(|(vm, behind)| Step::Lease { vm, behind }),
         (0..2u64, 0..4usize, 0..=100u32).prop_map(|(behind, step, share)| {
             Step::Advance { behind, step, share }
         }),
@@ -255,12 +254,8 @@
 }
 
 const PRESETS: [&str; 3] = ["ordinary", "peak", "missing"];
-const STEPS: [MoveStep; 4] = [
-    MoveStep::Canary,
-    MoveStep::Ramping,
-    MoveStep::Done,
-    MoveStep::Undone,
-];
+const STEPS: [MoveStep; 4] =
+    [MoveStep::Canary, MoveStep::Ramping, MoveStep::Done, MoveStep::Undone];
 
 proptest! {
     #![proptest_config(ProptestConfig {
