--- a/standins/src/fleet/setup.rs
+++ b/standins/src/fleet/setup.rs
@@ -118,6 +118,8 @@
     pub settle_interval: Duration,
     /// Lifetime of an entry answer.
     pub entry_lifetime: Duration,
+    /// Tokens of each budget, if the routers are the naive baseline.
+    pub naive: Option<u64>,
 }
 
 impl FleetPlan {
@@ -132,6 +134,7 @@
             presets: "ordinary: {}".to_owned(),
             settle_interval: Duration::from_millis(300),
             entry_lifetime: Duration::from_secs(1),
+            naive: None,
         };
         for number in 0..routers {
             plan.routers.push(RouterPlan {
@@ -166,6 +169,12 @@
         self
     }
 
+    /// Replaces the routers by the naive baseline, with budgets of `tokens`.
+    pub fn with_naive(mut self, tokens: u64) -> FleetPlan {
+        self.naive = Some(tokens);
+        self
+    }
+
     /// Sets the presets of the declaration.
     pub fn with_presets(mut self, presets: &str) -> FleetPlan {
         presets.clone_into(&mut self.presets);
@@ -277,8 +286,13 @@
         for engine in &plan.engines {
             fleet.start_engine(engine)?;
         }
-        for router in &plan.routers {
-            fleet.start_router(router)?;
+        match plan.naive {
+            Some(tokens) => fleet.start_naive(tokens)?,
+            None => {
+                for router in &plan.routers {
+                    fleet.start_router(router)?;
+                }
+            }
         }
         Ok(fleet)
     }
@@ -318,6 +332,52 @@
         Ok(number)
     }
 
+    /// Starts naive routers; the first one counts for all.
+    fn start_naive(&mut self, tokens: u64) -> io::Result<()> {
+        let mut addresses = Vec::new();
+        for _ in &self.plan.routers {
+            addresses.push(free_address()?);
+        }
+        let list = |addresses: &[SocketAddr]| {
+            let texts: Vec<String> =
+                addresses.iter().map(ToString::to_string).collect();
+            texts.join(",")
+        };
+        let version = |version: &str| {
+            let engines = self.engines.iter();
+            let engines = engines.filter(|e| e.entry.version == version);
+            engines.map(|engine| engine.address).collect::<Vec<_>>()
+        };
+        let (old, new) = (version("v1"), version("v2"));
+        for (number, address) in addresses.iter().enumerate() {
+            let mut arguments = vec![
+                format!("--listen={address}"),
+                format!("--routers={}", list(&addresses)),
+                format!("--old-engines={}", list(&old)),
+                format!("--paid={tokens}"),
+            ];
+            if !new.is_empty() {
+                arguments.push(format!("--new-engines={}", list(&new)));
+            }
+            let relay = CutRelay::start(addresses[0])?;
+            if number > 0 {
+                arguments.push(format!("--counter={}", relay.address()));
+            }
+            let log = self.folder.join(format!("router-{number}.jsonl"));
+            let program = "magnolia-naive-router";
+            let process = FleetProcess::start(program, &arguments, &log)?;
+            self.routers.push(FleetRouter {
+                process,
+                callers: *address,
+                operators: *address,
+                log_relay: relay,
+                peer_relay: CutRelay::start(*address)?,
+                settings: PathBuf::new(),
+            });
+        }
+        Ok(())
+    }
+
     fn start_router(&mut self, plan: &RouterPlan) -> io::Result<()> {
         let number = self.routers.len();
         let (callers, operators) = (free_address()?, free_address()?);
@@ -436,6 +496,12 @@
         for engine in &self.engines {
             self.wait_for_engine(engine).await;
         }
+        if self.plan.naive.is_some() {
+            for number in 0..self.routers.len() {
+                self.wait_ready(number).await;
+            }
+            return;
+        }
         let mut set = BTreeMap::new();
         for (number, router) in self.routers.iter().enumerate() {
             set.insert(format!("router-{number}"), self.entry_of(router));
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`log`]: the platform's append-only log and its list of VMs.
 //! * [`engine`]: a model engine with continuous batching, and a plain
 //!   service whose calls must not be repeated.
+//! * [`naive`]: the baseline of the measures.
+//! * [`measure`]: the measures of the promises.
 //! * [`load`]: callers, for load tests and experiments.
 //! * [`fleet`]: real processes on loopback, for tests and measures.
 
@@ -15,4 +17,6 @@
 pub mod fleet;
 pub mod load;
 pub mod log;
+pub mod measure;
+pub mod naive;
 pub mod server;
