--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -328,7 +328,7 @@
                 continue;
             }
             if Instant::now() >= deadline {
-                return Err(unavailable(budget));
+                return Err(self.unavailable(budget));
             }
             rounds += 1;
             let _ = monoio::time::timeout(RESERVE_POLL, changed).await;
@@ -469,6 +469,25 @@
         false
     }
 
+    /// Says what stands between a budget and its tokens.
+    fn unavailable(&self, budget: &BudgetName) -> CallError {
+        let state = self.state.borrow();
+        let followed = state.partitions.get(&self.partition(budget.account()));
+        let ledger = followed.and_then(|f| f.follower.fold());
+        let known = ledger.and_then(|l| l.budgets.get(budget.as_str()));
+        let free = known.map_or(0, |known| known.free);
+        let held = ledger.map_or(0, |l| l.held(budget.as_str()));
+        let own = state.holder.totals(budget.as_str());
+        let reachable = self.log_healthy.get();
+        let message = format!(
+            "no spending rights for {budget} arrived in time: {free} tokens \
+             free, {held} held by routers, {} of them here, log reachable: \
+             {reachable}",
+            own.available,
+        );
+        CallError::new(ErrorKind::BudgetUnavailable, message)
+    }
+
     fn wanted(&self, budget: &BudgetName, tokens: u64) -> u64 {
         let mut state = self.state.borrow_mut();
         wanted(&mut state, budget.as_str(), tokens)
@@ -1192,11 +1211,6 @@
     ranked.into_iter().map(|(_, vm)| vm.to_owned()).collect()
 }
 
-fn unavailable(budget: &BudgetName) -> CallError {
-    let message = format!("no spending rights for {budget} arrived in time");
-    CallError::new(ErrorKind::BudgetUnavailable, message)
-}
-
 fn exhausted(budget: &BudgetName, tokens: u64, left: u64) -> CallError {
     let message = format!(
         "budget {budget} has {left} tokens left, the request may need {tokens}"
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -369,6 +369,11 @@
     /// a row that says so.
     pub async fn routers(&self) -> Result<Vec<RouterRow>, CtlFault> {
         let list = self.vms().await?;
+        Ok(self.routers_of(&list).await)
+    }
+
+    /// The state of every router on a list of VMs.
+    pub async fn routers_of(&self, list: &VmList) -> Vec<RouterRow> {
         let mut rows = Vec::new();
         for (vm, entry) in &list.vms {
             if entry.role != VmRole::Entry {
@@ -377,7 +382,7 @@
             let status = self.router_status(entry).await;
             rows.push(RouterRow { vm: vm.clone(), status });
         }
-        Ok(rows)
+        rows
     }
 
     fn router_status<'a>(
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -3,10 +3,12 @@
 //! The command line talks to the platform's log and to the routers'
 //! operator addresses. It needs no router to publish a change.
 
+mod board;
 mod client;
 mod report;
 
 pub use self::{
+    board::{BoardView, run_board},
     client::{CtlClient, CtlFault, MoveRequest, PublishedChange},
     report::{BudgetRow, RouterRow},
 };
--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -13,6 +13,11 @@
 /// Fewest failures of the new version that can condemn it.
 const LEAST_FAILURES: u64 = 4;
 
+/// Chance of as many failures, if the new version were as good as the old
+/// one, below which it is condemned. The evidence is looked at thousands of
+/// times in a move, so that a single look has to be very sure.
+const FAILURE_CHANCE: f64 = 1e-6;
+
 /// Failures of the new version that condemn it without a comparison, if
 /// more than half of its requests failed.
 const LONE_FAILURES: u64 = 6;
@@ -20,15 +25,15 @@
 /// Fewest requests of a version for a comparison.
 const LEAST_REQUESTS: u64 = 20;
 
-/// Standard deviations between the failure rates that condemn a version.
-const FAILURE_SCORE: f64 = 4.5;
-
 /// Standard deviations between the mean latencies that condemn a version.
 const LATENCY_SCORE: f64 = 6.0;
 
 /// Least ratio between the latencies that condemns a version.
 const LATENCY_RATIO: f64 = 1.5;
 
+/// Terms of a tail that are summed up.
+const TAIL_TERMS: u64 = 64;
+
 /// Requests on a route beyond which its counters decay.
 const DECAYED_REQUESTS: u64 = 200;
 
@@ -182,9 +187,10 @@
 
     /// Judges the new version, on each route and over all of them.
     ///
-    /// A failure rate condemns a version if it lies [`FAILURE_SCORE`]
-    /// standard deviations above the old version's under the same load.
-    /// A latency condemns it by the same kind of comparison.
+    /// Failures condemn a version if so many of them would be next to
+    /// impossible at the old version's rate under the same load. A latency
+    /// condemns it if its mean lies far above the old version's, measured
+    /// in standard deviations.
     pub fn verdict(&self) -> Verdict {
         for (route, new) in &self.new.routes {
             let old = self.old.routes.get(route).copied().unwrap_or_default();
@@ -212,7 +218,6 @@
     if new.failures < LEAST_FAILURES {
         return None;
     }
-    let (old_rate, new_rate) = (old.failure_rate(), new.failure_rate());
     let reason = || {
         format!(
             "{} of {} requests failed, {} of {} on the old version",
@@ -220,16 +225,35 @@
         )
     };
     if old.requests < LEAST_REQUESTS {
-        let lone = new.failures >= LONE_FAILURES && new_rate > 0.5;
+        let lone = new.failures >= LONE_FAILURES && new.failure_rate() > 0.5;
         return lone.then(reason);
     }
-    let requests = (old.requests + new.requests) as f64;
-    let pooled = (old.failures + new.failures) as f64 / requests;
-    let spread = 1.0 / old.requests as f64 + 1.0 / new.requests as f64;
-    let deviation = (pooled * (1.0 - pooled) * spread).sqrt();
-    // With every request failed on both sides there is nothing to compare.
-    let score = (new_rate - old_rate) / deviation.max(f64::MIN_POSITIVE);
-    (new_rate > old_rate && score > FAILURE_SCORE).then(reason)
+    // One failure more than was seen, because none in a few requests does
+    // not mean that there never is one.
+    let old_rate = (old.failures + 1) as f64 / (old.requests + 1) as f64;
+    let expected = old_rate * new.requests as f64;
+    let chance = tail_chance(expected, new.failures);
+    (chance < FAILURE_CHANCE).then(reason)
+}
+
+/// The chance of at least `count` events where `expected` are expected,
+/// by the Poisson distribution.
+fn tail_chance(expected: f64, count: u64) -> f64 {
+    if count as f64 <= expected {
+        return 1.0;
+    }
+    // Beyond the mean the terms fall fast; the sum begins at `count`.
+    let mut log_term = -expected;
+    for event in 1..=count {
+        log_term += (expected / event as f64).ln();
+    }
+    let mut term = log_term.exp();
+    let mut sum = term;
+    for event in count + 1..count + TAIL_TERMS {
+        term *= expected / event as f64;
+        sum += term;
+    }
+    sum
 }
 
 fn compare_latencies(
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -10,7 +10,7 @@
         KnownState, LogCursors, NewerState, PeerAnswer, PeerCall, VmList,
         VmRole, VmState,
     },
-    routing::{SubsetPlan, UpstreamView, upstream_share, upstream_subset},
+    routing::{SubsetPlan, UpstreamView, upstream_shares},
     streams::StreamFold,
     timer::TimerService,
 };
@@ -236,14 +236,13 @@
             };
             let limit = document.upstream_limit;
             let plan = SubsetPlan { routers: &routers, upstreams, limit };
-            let share = upstream_share(&plan);
-            for vm in upstream_subset(&plan, &self.settings.vm) {
+            for share in upstream_shares(&plan, &self.settings.vm) {
                 views.push(UpstreamView {
-                    address: vms[&vm].address,
-                    vm,
+                    address: vms[&share.upstream].address,
+                    vm: share.upstream,
                     service: (*service).to_owned(),
                     version: (*version).to_owned(),
-                    share,
+                    share: share.slots,
                     limit,
                 });
             }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,9 +1,9 @@
 //! Which upstream takes a request, and when.
 //!
-//! * [`subset`](upstream_subset): each router uses a few workers of each
-//!   version, chosen by rendezvous hashing, and owns a fixed part of the
-//!   concurrency limit of each of them. The parts of all routers add up to
-//!   less than the limit, whatever each router does on its own.
+//! * [`upstream_shares`]: each router uses a few workers of each version,
+//!   chosen by rendezvous hashing, and owns a fixed part of the concurrency
+//!   limit of each of them. The parts of all routers add up to the limit at
+//!   most, whatever each router does on its own.
 //! * [`UpstreamTable`] counts what is in progress against that part, ranks
 //!   the workers and queues requests that find none free.
 //! * [`RetryBudget`] keeps retries a small share of the traffic.
@@ -18,6 +18,6 @@
 pub use self::{
     queue::{AdmissionQueue, QueuedCall},
     retry::RetryBudget,
-    subset::{SubsetPlan, upstream_share, upstream_subset},
+    subset::{SubsetPlan, UpstreamShare, upstream_shares},
     table::{AdmitRequest, UpstreamSlot, UpstreamTable, UpstreamView},
 };
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -53,10 +53,32 @@
         self.waiting.is_empty()
     }
 
-    /// Requests that would be served before a new one of `class`.
-    pub fn ahead_of(&self, class: CallClass) -> usize {
-        let ahead = self.waiting.values().filter(|call| call.class <= class);
-        ahead.count()
+    /// Requests that would be served before a new one.
+    ///
+    /// Accounts of the same class take turns. Each other one gets ahead
+    /// with no more requests than bring it level with the new request's
+    /// account, however many of them wait.
+    pub fn ahead_of(
+        &self,
+        class: CallClass,
+        account: &str,
+        in_progress: impl Fn(&str) -> usize,
+    ) -> usize {
+        let mut ahead = 0;
+        let mut waiting: BTreeMap<&str, usize> = BTreeMap::new();
+        for call in self.waiting.values() {
+            if call.class < class {
+                ahead += 1;
+            } else if call.class == class {
+                *waiting.entry(&call.account).or_default() += 1;
+            }
+        }
+        let own = waiting.remove(account).unwrap_or(0);
+        let level = in_progress(account) + own + 1;
+        for (other, count) in waiting {
+            ahead += count.min(level.saturating_sub(in_progress(other)));
+        }
+        ahead + own
     }
 
     /// Adds a request; `None` if the queue of its class is full.
--- a/src/routing/subset.rs
+++ b/src/routing/subset.rs
@@ -2,92 +2,107 @@
 
 use crate::membership::rendezvous_weight;
 
-/// Slots that a router wants at an upstream that it uses.
-const WANTED_SHARE: usize = 4;
+/// Most slots that a router owns at one upstream.
+const LARGEST_SHARE: u32 = 4;
 
-/// Fewest upstreams of a version that a router uses.
-const SMALLEST_SUBSET: usize = 2;
+/// Parts into which the limit of a small upstream is cut.
+const SMALL_PARTS: u32 = 8;
 
-/// Part of an upstream's limit that is shared out, in percent. The rest
-/// covers routers that are missing from somebody's list.
-const SHARED_PERCENT: u32 = 90;
+/// Parts of an upstream's limit that are not shared out: one for a router
+/// that is missing from somebody's list, one for routers without a share.
+const SPARE_PARTS: u32 = 2;
 
 /// The routers, upstreams and limit from which shares are computed.
 #[derive(Clone, Copy, Debug)]
 pub struct SubsetPlan<'a> {
-    /// Names of the entry VMs, sorted.
+    /// Names of the entry VMs.
     pub routers: &'a [String],
-    /// Names of the workers of one version, sorted.
+    /// Names of the workers of one version.
     pub upstreams: &'a [String],
     /// Most requests in progress at one worker, over all routers.
     pub limit: u32,
 }
 
+/// The slots that a router owns at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamShare {
+    /// The name of the worker.
+    pub upstream: String,
+    /// Most requests of this router in progress there.
+    pub slots: u32,
+}
+
 impl SubsetPlan<'_> {
-    /// How many upstreams each router uses.
-    fn subset_size(&self) -> usize {
-        let slots = self.upstreams.len() * self.limit as usize;
-        let wanted = self.routers.len().max(1) * WANTED_SHARE;
-        let size = slots.div_ceil(wanted).max(SMALLEST_SUBSET);
-        size.min(self.upstreams.len())
+    /// Slots of one sharer.
+    fn share(&self) -> u32 {
+        (self.limit / SMALL_PARTS).clamp(1, LARGEST_SHARE)
     }
 
-    /// How many routers share each upstream.
-    fn sharers(&self) -> usize {
-        let uses = self.routers.len() * self.subset_size();
-        uses.div_ceil(self.upstreams.len().max(1))
+    /// How many routers share an upstream that has enough routers.
+    fn sharers(&self) -> u32 {
+        (self.limit / self.share()).saturating_sub(SPARE_PARTS).max(1)
     }
 
-    /// The position of a router among all of them.
+    /// How many other routers come before a router at an upstream.
     ///
-    /// A router that is missing from its own list takes the position that
-    /// its name would have.
-    fn position(&self, router: &str) -> usize {
-        let found =
-            self.routers.binary_search_by(|name| name.as_str().cmp(router));
-        found.unwrap_or_else(|position| position)
+    /// The rank follows from the names alone. A router that is missing from
+    /// a list moves each later one up by a single place, and leaves all
+    /// others where they are.
+    fn rank(&self, upstream: &str, router: &str) -> u32 {
+        let own = rendezvous_weight(upstream, router);
+        let mut rank = 0;
+        for other in self.routers {
+            let ahead =
+                other != router && rendezvous_weight(upstream, other) > own;
+            rank += u32::from(ahead);
+        }
+        rank
     }
 }
 
-/// The upstreams that a router uses, in a stable order.
+/// The slots that belong to a router, by upstream.
 ///
-/// The upstreams are laid out in a ring by hash, and each router takes the
-/// arc that follows the one of the router before it. Every upstream is then
-/// shared by the same number of routers, give or take one.
-pub fn upstream_subset(plan: &SubsetPlan<'_>, router: &str) -> Vec<String> {
-    let mut ring: Vec<&String> = plan.upstreams.iter().collect();
-    ring.sort_by_key(|name| rendezvous_weight("ring", name));
-    let size = plan.subset_size();
-    let start = plan.position(router) * size;
-    let mut subset = Vec::with_capacity(size);
-    for step in 0..size {
-        subset.push(ring[(start + step) % ring.len()].clone());
-    }
-    subset
-}
-
-/// The slots that a router owns at an upstream of its subset.
+/// The shares of all routers at one upstream add up to its limit at most,
+/// also if the lists of some routers lack one of the others. A router that
+/// is among the first of no upstream gets single slots at those where it is
+/// among the next.
 ///
 /// # Example
 ///
 /// ```
-/// use magnoliahaven::routing::{SubsetPlan, upstream_share};
+/// use magnoliahaven::routing::{SubsetPlan, upstream_shares};
 ///
-/// let routers: Vec<String> = (0..8).map(|n| format!("vm-{n}")).collect();
-/// let upstreams: Vec<String> = (0..12).map(|n| format!("w-{n}")).collect();
+/// let routers: Vec<String> = (0..3).map(|n| format!("vm-{n}")).collect();
+/// let upstreams = vec!["worker-1".to_owned()];
 /// let plan = SubsetPlan {
 ///     routers: &routers,
 ///     upstreams: &upstreams,
 ///     limit: 16,
 /// };
-/// assert_eq!(upstream_share(&plan), 3);
+/// let shares = upstream_shares(&plan, "vm-1");
+/// assert_eq!(shares[0].slots, 4);
 /// ```
-pub fn upstream_share(plan: &SubsetPlan<'_>) -> u32 {
-    let sharers = plan.sharers().max(1) as u32;
-    if sharers == 1 {
-        return plan.limit;
+pub fn upstream_shares(
+    plan: &SubsetPlan<'_>,
+    router: &str,
+) -> Vec<UpstreamShare> {
+    let routers = plan.routers.len() as u32;
+    let (mut sharers, mut slots) = (plan.sharers(), plan.share());
+    if routers <= sharers {
+        // A list that lacks a router gives larger shares to one fewer.
+        sharers = routers.max(1);
+        slots = (plan.limit / (sharers + 1)).max(1);
+    }
+    let mut first = Vec::new();
+    let mut next = Vec::new();
+    for upstream in plan.upstreams {
+        let rank = plan.rank(upstream, router);
+        let upstream = upstream.clone();
+        if rank < sharers {
+            first.push(UpstreamShare { upstream, slots });
+        } else if rank + 1 < sharers + plan.share() {
+            next.push(UpstreamShare { upstream, slots: 1 });
+        }
     }
-    // With more routers than slots each one keeps a single slot, which the
-    // capacity page names as the size at which this scheme ends.
-    (plan.limit * SHARED_PERCENT / 100 / sharers).max(1)
+    if first.is_empty() { next } else { first }
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -192,8 +192,7 @@
 
     /// Requests in progress, by account.
     pub fn in_progress_of(&self, account: &str) -> usize {
-        let state = self.state.borrow();
-        state.accounts.get(account).copied().unwrap_or(0)
+        self.state.borrow().in_progress_of(account)
     }
 
     /// Requests in progress at all upstreams.
@@ -325,6 +324,10 @@
         self.upstreams.retain(|_, e| !e.removed || e.in_progress > 0);
     }
 
+    fn in_progress_of(&self, account: &str) -> usize {
+        self.accounts.get(account).copied().unwrap_or(0)
+    }
+
     fn has_version(&self, service: &str, call: &QueuedCall) -> bool {
         let mut entries = self.upstreams.values();
         entries.any(|entry| entry.serves(service, call))
@@ -414,7 +417,9 @@
     /// Seconds until a new request would be served.
     fn expected_wait(&self, request: &AdmitRequest<'_>) -> f64 {
         let queue = self.queues.get(request.service);
-        let ahead = queue.map_or(0, |queue| queue.ahead_of(request.class));
+        let AdmitRequest { class, account, .. } = *request;
+        let count = |name: &str| self.in_progress_of(name);
+        let ahead = queue.map_or(0, |q| q.ahead_of(class, account, count));
         let duration = self.durations.get(request.service);
         let duration = duration.copied().unwrap_or(0.0);
         let mut slots = 0;
@@ -431,8 +436,7 @@
     fn serve_next(&mut self, service: &str) -> Option<ServedCall> {
         loop {
             let queue = self.queues.get(service)?;
-            let accounts = &self.accounts;
-            let count = |name: &str| accounts.get(name).copied().unwrap_or(0);
+            let count = |name: &str| self.in_progress_of(name);
             let fits =
                 |call: &QueuedCall| self.best_free(service, call).is_some();
             let ticket = queue.next(Instant::now(), count, fits)?;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 //!   service whose calls must not be repeated.
 //! * [`naive`]: the baseline of the measures.
 //! * [`measure`]: the measures of the promises.
+//! * [`slopes`]: the measured slopes behind the capacity page.
 //! * [`load`]: callers, for load tests and experiments.
 //! * [`fleet`]: real processes on loopback, for tests and measures.
 
@@ -20,3 +21,4 @@
 pub mod measure;
 pub mod naive;
 pub mod server;
+pub mod slopes;
--- a/standins/tests/budgets.rs
+++ b/standins/tests/budgets.rs
@@ -33,10 +33,14 @@
         let count = callers.len();
         let caller = &mut callers[number % count];
         let request = request(&format!("r{number}"), 20);
-        match caller.call(&request).await.end {
+        let outcome = caller.call(&request).await;
+        match outcome.end {
             CallEnd::Answered => answered += 1,
             end => {
-                assert!(is_refused(&end, refusal), "{end:?}");
+                let router = routers[number % count];
+                let log = fleet.routers[router].process.log_text();
+                let last = log.lines().last().unwrap_or_default();
+                assert!(is_refused(&end, refusal), "{end:?}: {last}");
                 return answered;
             }
         }
