--- a/src/budget/keeper/claims.rs
+++ b/src/budget/keeper/claims.rs
@@ -10,6 +10,9 @@
 };
 use crate::error::{CallError, ErrorKind};
 
+/// Most outcomes that are kept until they are read back.
+const LOCAL_OUTCOMES: usize = 10_000;
+
 /// The result of announcing a non-idempotent call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallClaim {
@@ -108,10 +111,22 @@
         attempt
     }
 
+    /// The intent of a key, with the outcome that this router has recorded
+    /// and not read back yet.
     fn intent(&self, account: &str, full: &str) -> Option<IntentState> {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         let followed = state.partitions.get(&self.partition(account))?;
-        followed.follower.fold()?.intents.get(full).cloned()
+        let known = followed.follower.fold()?.intents.get(full);
+        let mut intent = known?.clone();
+        if intent.outcome.is_some() {
+            state.outcomes.remove(full);
+            return Some(intent);
+        }
+        if intent.holder == *state.holder.id() {
+            intent.outcome = state.outcomes.get(full).cloned();
+        }
+        Some(intent)
     }
 
     /// Records how a non-idempotent call ended.
@@ -122,9 +137,16 @@
         attempt: u64,
         outcome: CallOutcome,
     ) {
+        let full = format!("{account}/{key}");
         let mut state = self.state.borrow_mut();
+        if outcome != CallOutcome::NotRun {
+            if state.outcomes.len() >= LOCAL_OUTCOMES {
+                state.outcomes.pop_first();
+            }
+            state.outcomes.insert(full.clone(), outcome.clone());
+        }
         let record = AccountRecord::Outcome(OutcomeRecord {
-            key: format!("{account}/{key}"),
+            key: full,
             holder: state.holder.id().clone(),
             attempt,
             outcome,
--- a/src/budget/keeper/mod.rs
+++ b/src/budget/keeper/mod.rs
@@ -32,9 +32,9 @@
     upkeep::{bill_stream, bill_streams},
 };
 use super::{
-    AccountLedger, AccountRecord, GrantHolder, GrantSizer, HeldTotals,
-    RecordOutbox, Reservation, Sent, SettleRecord, StandbyBook, Unsent,
-    partition_of,
+    AccountLedger, AccountRecord, CallOutcome, GrantHolder, GrantSizer,
+    HeldTotals, RecordOutbox, Reservation, Sent, SettleRecord, StandbyBook,
+    Unsent, partition_of,
 };
 use crate::{
     domain::{BillId, BudgetName, HolderId},
@@ -132,6 +132,7 @@
     bills: Vec<BillLine>,
     relays: Vec<PendingRelay>,
     standby: StandbyBook,
+    outcomes: BTreeMap<String, CallOutcome>,
     last_attempt: u64,
     appends: u64,
 }
@@ -172,6 +173,7 @@
             bills: Vec::new(),
             relays: Vec::new(),
             standby: StandbyBook::new(),
+            outcomes: BTreeMap::new(),
             last_attempt: 0,
             appends: 0,
         };
--- a/src/budget/keeper/reserve.rs
+++ b/src/budget/keeper/reserve.rs
@@ -105,8 +105,24 @@
         Some(reservation)
     }
 
+    /// Asks for a grant at once, because a request waits for it.
+    fn ask_now(
+        &self,
+        state: &mut KeeperState,
+        budget: &BudgetName,
+        least: u64,
+        want: u64,
+    ) {
+        self.ask(state, budget, least, want);
+        self.urgent.notify_one();
+    }
+
     /// Queues a grant record, unless one is on its way.
-    pub(super) fn ask(
+    ///
+    /// It leaves with the next settlement. Half of the horizon's demand is
+    /// left then, and an append of its own for each budget would be far
+    /// more than the log takes.
+    fn ask(
         &self,
         state: &mut KeeperState,
         budget: &BudgetName,
@@ -114,8 +130,9 @@
         want: u64,
     ) {
         let now = Instant::now();
+        let retry = GRANT_RETRY.max(self.options.settle_interval * 2);
         let asked = state.asked.get(budget.as_str());
-        let pending = asked.is_some_and(|at| now - *at < GRANT_RETRY);
+        let pending = asked.is_some_and(|at| now - *at < retry);
         if pending || self.leaving.get() {
             return;
         }
@@ -127,7 +144,6 @@
             want: want.max(least),
         });
         state.outbox.push(self.partition(budget.account()), record);
-        self.urgent.notify_one();
     }
 
     /// Tries to obtain `tokens`; `true` if a new attempt makes sense now.
@@ -168,7 +184,7 @@
         let healthy = self.log_healthy.get();
         if free >= tokens && healthy {
             let want = wanted(state, name, tokens);
-            self.ask(state, budget, tokens, want);
+            self.ask_now(state, budget, tokens, want);
             return Ok(AcquirePlan::AwaitGrant(lenders));
         }
         // With the log out the balance is only as fresh as the last read.
@@ -294,7 +310,7 @@
             let free = known.map_or(0, |known| known.free);
             if free >= *least {
                 let want = want.saturating_mul(COLD_REQUESTS);
-                self.ask(state, &budget, *least, want);
+                self.ask_now(state, &budget, *least, want);
             } else if lent.is_none() {
                 self.give_back(state, &budget);
             }
@@ -338,7 +354,7 @@
         }
         state.prewarmed.insert(name.to_owned());
         if state.holder.totals(name).available == 0 {
-            self.ask(state, budget, 1, want);
+            self.ask_now(state, budget, 1, want);
         }
     }
 }
--- a/src/budget/sizing.rs
+++ b/src/budget/sizing.rs
@@ -33,10 +33,31 @@
     want.min(share).max(least)
 }
 
+/// Shortest time over which a first rate is taken, so that a single request
+/// does not look like a flood.
+const SHORTEST_SPAN: Duration = Duration::from_secs(1);
+
 /// Estimates the draw rate of one budget at one router.
+///
+/// # Example
+///
+/// ```
+/// use std::time::{Duration, Instant};
+///
+/// use magnoliahaven::budget::GrantSizer;
+///
+/// let start = Instant::now();
+/// let mut sizer = GrantSizer::new(Duration::from_secs(60), start);
+/// for second in 0..100 {
+///     sizer.note(500, start + Duration::from_secs(second));
+/// }
+/// let target = sizer.target(start + Duration::from_secs(100));
+/// assert!((25_000..35_000).contains(&target));
+/// ```
 #[derive(Clone, Debug)]
 pub struct GrantSizer {
-    rate: f64,
+    started: Instant,
+    drawn: f64,
     updated: Instant,
     horizon: Duration,
 }
@@ -44,25 +65,34 @@
 impl GrantSizer {
     /// Creates a sizer that covers `horizon` of demand with each grant.
     pub fn new(horizon: Duration, now: Instant) -> GrantSizer {
-        GrantSizer { rate: 0.0, updated: now, horizon }
+        GrantSizer { started: now, drawn: 0.0, updated: now, horizon }
     }
 
     /// Notes that `tokens` were reserved.
     pub fn note(&mut self, tokens: u64, now: Instant) {
         self.decay(now);
-        self.rate += tokens as f64 / RATE_WINDOW.as_secs_f64();
+        self.drawn += tokens as f64;
     }
 
     fn decay(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.updated);
-        let exponent = age.as_secs_f64() / RATE_WINDOW.as_secs_f64();
-        self.rate *= (-exponent).exp();
+        self.drawn *= remaining_part(age);
         self.updated = now;
     }
 
     /// Tokens that cover the horizon at the current rate.
     pub fn target(&mut self, now: Instant) -> u64 {
         self.decay(now);
-        (self.rate * self.horizon.as_secs_f64()).ceil() as u64
+        // What was drawn is weighted by its age. A sizer that is younger
+        // than the window has seen a part of the weights only.
+        let span = now.saturating_duration_since(self.started);
+        let seen = 1.0 - remaining_part(span.max(SHORTEST_SPAN));
+        let rate = self.drawn / (RATE_WINDOW.as_secs_f64() * seen);
+        (rate * self.horizon.as_secs_f64()).ceil() as u64
     }
 }
+
+/// The weight of what was drawn `age` ago.
+fn remaining_part(age: Duration) -> f64 {
+    (-age.as_secs_f64() / RATE_WINDOW.as_secs_f64()).exp()
+}
--- a/standins/tests/calls_once.rs
+++ b/standins/tests/calls_once.rs
@@ -58,6 +58,24 @@
     });
 }
 
+/// A repetition at the same router gets the first answer at once, also
+/// before the outcome has come back from the log.
+#[test]
+fn a_repetition_gets_the_first_answer() {
+    run(async {
+        let fleet = Fleet::start(plan()).unwrap();
+        fleet.configure(10_000).await;
+        fleet.log_faults(json!({"delay_ms": 300})).await;
+        let address = fleet.routers[0].callers;
+        let call = || post_call(address, PATH, BUDGET, Some("again"), "{}");
+        let first = call().await.expect("an answer");
+        let second = call().await.expect("an answer");
+        assert_eq!(first.0, StatusCode::OK);
+        assert_eq!(first, second);
+        assert_eq!(engine_sum(&fleet, "plain_runs").await, 1);
+    });
+}
+
 #[test]
 fn a_lost_answer_is_reported_unknown_and_not_sent_again() {
     run(async {
