Give up an intent that lost, and let the demo run a load

Cause: a repetition read back the first intent, which the outcome behind it was about to free, and left its own intent in the log; that one then won with nobody to send the call. Ruled out: the outage itself, since the records were appended in order. A claim that finds the key taken now gives its own intent up.

The load tool names its requests when it talks to engines directly (before, an engine took all of them for one and broke 21,232 of 35,647).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Runs the whole path on this machine: builds, starts the stand-ins and two
 # routers, publishes a configuration, sends requests, shows budget and bills,
-# and stops what it started. Exits 0 if every step worked.
+# and stops what it started. Exits 0 if every step worked. With the argument
+# `load` it also sends a load of 64 callers for 10 s, first straight to the
+# engines and then through the routers, and prints the report.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -120,6 +122,13 @@
 "$ctl" budgets
 echo "== bills"
 "$ctl" bills
+if [ "${1:-}" = load ]; then
+    echo "== load"
+    "$bin/magnolia-load" --callers 64 --duration-s 10 \
+        --keys demo-nurse,demo-planner \
+        --routers 127.0.0.1:7101,127.0.0.1:7102 \
+        --engines "$(echo 127.0.0.1:751{1,2,3,4} | tr ' ' ,)"
+fi
 echo "== the shared screen"
 "$bin/magnolia-board" --once
 echo "== leave"
--- a/src/budget/keeper/claims.rs
+++ b/src/budget/keeper/claims.rs
@@ -57,6 +57,10 @@
                 if won {
                     return Ok(CallClaim::Won { attempt });
                 }
+                // The key may be freed before this intent is applied, which
+                // would then win with nobody to send the call.
+                let outcome = CallOutcome::NotRun;
+                self.record_outcome(account, key, attempt, outcome);
                 return Ok(CallClaim::Taken(intent));
             }
             if Instant::now() >= deadline {
--- a/standins/src/engine/handler.rs
+++ b/standins/src/engine/handler.rs
@@ -148,7 +148,10 @@
         fails
     }
 
-    async fn step(&self) {
+    /// Waits for the next step of a request.
+    ///
+    /// Past the limit less urgent requests get fewer of the steps.
+    async fn step(&self, priority: u32) {
         while self.faults.borrow().stall {
             monoio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -157,7 +160,9 @@
             let faults = self.faults.borrow();
             let slow = load.running() > faults.slow_above;
             let factor = if slow { faults.slow_factor.max(1) } else { 1 };
-            load.step() * factor
+            let crowded = load.running() > self.options.limit;
+            let turns = if crowded { 1 + priority } else { 1 };
+            load.step() * factor * turns
         };
         if step.is_zero() {
             yield_now().await;
@@ -285,7 +290,7 @@
             return false;
         }
         if index >= claim.generated {
-            self.step().await;
+            self.step(claim.priority).await;
         }
         let mut streams = self.streams.borrow_mut();
         if !streams.is_current(id, claim.epoch) {
@@ -301,7 +306,7 @@
         responder: &mut HttpResponder,
     ) -> bool {
         let _running = self.run();
-        self.step().await;
+        self.step(0).await;
         if self.fails(request.path(), request) {
             let response = json_response(500, &json!({"error": "fault"}));
             return responder.send(response).await.is_ok();
--- a/standins/src/engine/streams.rs
+++ b/standins/src/engine/streams.rs
@@ -25,6 +25,8 @@
     pub epoch: u64,
     /// Whether the request was not known before.
     pub fresh: bool,
+    /// Lower values are served first.
+    pub priority: u32,
 }
 
 /// Requests by identity.
@@ -66,6 +68,7 @@
             generated: record.generated,
             epoch: record.epoch,
             fresh,
+            priority: 0,
         }
     }
 
--- a/standins/src/load/caller.rs
+++ b/standins/src/load/caller.rs
@@ -9,7 +9,10 @@
     bytes::Bytes,
     http::Request,
     magnoliahaven::{
-        adapters::http::{HttpClient, HttpFault, HttpReply},
+        adapters::{
+            http::{HttpClient, HttpFault, HttpReply},
+            upstream::REQUEST_ID_HEADER,
+        },
         entry::EntryAnswer,
         router::SseScanner,
     },
@@ -94,6 +97,8 @@
     addresses: Vec<SocketAddr>,
     valid_until: Instant,
     next_engine: usize,
+    number: usize,
+    sent: u64,
 }
 
 impl LoadCaller {
@@ -107,6 +112,8 @@
             addresses: Vec::new(),
             valid_until: Instant::now(),
             next_engine: number,
+            number,
+            sent: 0,
         }
     }
 
@@ -165,6 +172,7 @@
     /// Sends one request.
     pub async fn call(&mut self, request: &CallRequest) -> CallOutcome {
         let started = Instant::now();
+        self.sent += 1;
         let address = self.address().await;
         let mut outcome = CallOutcome {
             end: CallEnd::Broken,
@@ -204,6 +212,12 @@
         let mut message = Request::post("/v1/chat/completions")
             .header("authorization", format!("Bearer {}", self.key))
             .header("content-type", "application/json");
+        if let CallTarget::Engines(_) = self.target {
+            // A router names each request; without one the caller has to,
+            // or the engine takes all of them for the same.
+            let id = format!("direct-{}-{}", self.number, self.sent);
+            message = message.header(REQUEST_ID_HEADER, id);
+        }
         if let Some(key) = &request.key {
             message = message.header("idempotency-key", key);
         }
