Ask for the first VM without a sort, and begin an audit line in one place

Found on a reading of the whole change; behaviour stays as it is. * Each settlement sorted the live routers once for every partition, only to look at the head.

--- a/src/budget/keeper/claims.rs
+++ b/src/budget/keeper/claims.rs
@@ -59,15 +59,13 @@
                 }
                 // The key may be freed before this intent is applied, which
                 // would then win with nobody to send the call.
-                let outcome = CallOutcome::NotRun;
-                self.record_outcome(account, key, attempt, outcome);
+                self.give_up_intent(account, key, attempt);
                 return Ok(CallClaim::Taken(intent));
             }
             if Instant::now() >= deadline {
                 // The intent may still reach the log. The outcome behind it
                 // frees the key again.
-                let outcome = CallOutcome::NotRun;
-                self.record_outcome(account, key, attempt, outcome);
+                self.give_up_intent(account, key, attempt);
                 return Err(log_unavailable());
             }
             let _ = monoio::time::timeout(RESERVE_POLL, changed).await;
@@ -115,6 +113,10 @@
         attempt
     }
 
+    fn give_up_intent(&self, account: &str, key: &str, attempt: u64) {
+        self.record_outcome(account, key, attempt, CallOutcome::NotRun);
+    }
+
     /// The intent of a key, with the outcome that this router has recorded
     /// and not read back yet.
     fn intent(&self, account: &str, full: &str) -> Option<IntentState> {
--- a/src/budget/keeper/mod.rs
+++ b/src/budget/keeper/mod.rs
@@ -101,6 +101,25 @@
     }
 }
 
+impl BillLine {
+    /// Creates the line of a request; the keeper adds bill and tokens.
+    pub fn new(
+        budget: &BudgetName,
+        request_id: &str,
+        service: &str,
+    ) -> BillLine {
+        BillLine {
+            bill: String::new(),
+            budget: budget.as_str().to_owned(),
+            request_id: request_id.to_owned(),
+            service: service.to_owned(),
+            tokens: 0,
+            vm: String::new(),
+            time_ms: 0,
+        }
+    }
+}
+
 /// What the keeper needs from outside.
 #[derive(Clone)]
 pub struct KeeperPorts {
--- a/src/budget/keeper/upkeep.rs
+++ b/src/budget/keeper/upkeep.rs
@@ -43,9 +43,8 @@
     }
 
     fn owns(&self, partition: u32) -> bool {
-        let directory = &self.ports.directory;
-        let ranked = directory.ranked_entry_vms(&partition_stream(partition));
-        ranked.first().is_some_and(|vm| vm == directory.vm())
+        let stream = partition_stream(partition);
+        self.ports.directory.is_first_for(&stream)
     }
 
     fn queue_settlements(&self) {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -53,19 +53,35 @@
     /// The order is a rendezvous ranking: it is the same at every router
     /// with the same list, and the loss of a VM moves only its own keys.
     pub fn ranked_entry_vms(&self, key: &str) -> Vec<String> {
-        let mut ranked = Vec::new();
-        for (name, entry) in self.vms().iter() {
-            let usable =
-                entry.role == VmRole::Entry && entry.state == VmState::Live;
-            if usable {
-                ranked.push((rendezvous_weight(key, name), name.clone()));
-            }
-        }
+        let vms = self.vms();
+        let mut ranked: Vec<(u64, &String)> =
+            weighted_entry_vms(&vms, key).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().map(|(_, name)| name).collect()
+        ranked.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Whether this router's VM is the first one that serves `key`.
+    ///
+    /// The same as a look at the head of the ranking, without a sort. It is
+    /// asked for every partition at every settlement.
+    pub fn is_first_for(&self, key: &str) -> bool {
+        let vms = self.vms();
+        let first = weighted_entry_vms(&vms, key).max();
+        first.is_some_and(|(_, name)| *name == self.vm)
     }
 }
 
+/// Live entry VMs with their weights for a key.
+fn weighted_entry_vms<'a>(
+    vms: &'a BTreeMap<String, VmEntry>,
+    key: &'a str,
+) -> impl Iterator<Item = (u64, &'a String)> {
+    let live = vms.iter().filter(|(_, entry)| {
+        entry.role == VmRole::Entry && entry.state == VmState::Live
+    });
+    live.map(move |(name, _)| (rendezvous_weight(key, name), name))
+}
+
 /// The weight of a node for a key in rendezvous hashing.
 ///
 /// # Example
--- a/src/router/chat/bill.rs
+++ b/src/router/chat/bill.rs
@@ -33,21 +33,13 @@
     sent: Reservation<Sent>,
     tokens: u64,
 ) {
-    let line = BillLine {
-        bill: String::new(),
-        budget: chat.identity.budget.as_str().to_owned(),
-        request_id: chat.request_id.clone(),
-        service: chat.service.clone(),
-        tokens: 0,
-        vm: String::new(),
-        time_ms: 0,
-    };
+    let budget = &chat.identity.budget;
+    let line = BillLine::new(budget, &chat.request_id, &chat.service);
     let id = sent.bill();
     let line = core.keeper.settle(sent, tokens, line);
     let note = relayed_bill(chat, id, address, Some(line.tokens));
     core.keeper.relay_end(note);
-    let account = chat.identity.budget.account();
-    core.metrics.note_tokens(account, line.tokens);
+    core.metrics.note_tokens(budget.account(), line.tokens);
 }
 
 /// Bills the tokens of an answer to whoever owes them.
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -123,8 +123,7 @@
     let ticks = core.timer.subscribe(period);
     loop {
         ticks.tick().await;
-        let ranked = core.directory.ranked_entry_vms(CONTROL_STREAM);
-        if ranked.first() != Some(&core.settings.vm) {
+        if !core.directory.is_first_for(CONTROL_STREAM) {
             continue;
         }
         let record = {
--- a/src/router/service_call.rs
+++ b/src/router/service_call.rs
@@ -368,16 +368,8 @@
     reservation: Reservation<Sent>,
     tokens: u64,
 ) {
-    let line = BillLine {
-        bill: String::new(),
-        budget: call.identity.budget.as_str().to_owned(),
-        request_id: call.request_id.clone(),
-        service: call.service.clone(),
-        tokens: 0,
-        vm: String::new(),
-        time_ms: 0,
-    };
+    let budget = &call.identity.budget;
+    let line = BillLine::new(budget, &call.request_id, &call.service);
     let line = core.keeper.settle(reservation, tokens, line);
-    let account = call.identity.budget.account();
-    core.metrics.note_tokens(account, line.tokens);
+    core.metrics.note_tokens(budget.account(), line.tokens);
 }
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -9,7 +9,8 @@
     magnoliahaven::{
         config::CallClass,
         entry::{EntryHealth, rank_entries},
-        ports::{VmEntry, VmRole, VmState},
+        membership::VmDirectory,
+        ports::{VmEntry, VmList, VmRole, VmState},
         routing::{AdmissionQueue, QueuedCall, SubsetPlan, upstream_shares},
     },
     proptest::prelude::*,
@@ -228,3 +229,20 @@
     assert_eq!(queue.ahead_of(CallClass::Check, "2", level), 1);
     assert_eq!(queue.ahead_of(CallClass::Draft, "2", busy), 100);
 }
+
+/// The short question has the answer that the whole ranking gives.
+#[test]
+fn the_first_vm_is_the_head_of_the_ranking() {
+    let list = VmList { version: 1, vms: entries(9) };
+    for number in 0..9 {
+        let vm = format!("vm-{number}");
+        let directory = VmDirectory::new(&vm);
+        directory.update(list.clone());
+        for key in 0..200 {
+            let key = format!("account-{key}");
+            let head = directory.ranked_entry_vms(&key).remove(0);
+            assert_eq!(directory.is_first_for(&key), head == vm);
+        }
+    }
+    assert!(!VmDirectory::new("vm-0").is_first_for("account-0"));
+}
