Read the baseline's answers, and find a move's driver, in one place

The naive router scanned and counted a part of an answer twice, word for word; the tests of moves took the driver's number out of its name twice.

--- a/standins/src/naive/router.rs
+++ b/standins/src/naive/router.rs
@@ -200,12 +200,8 @@
                             ended = true;
                             continue;
                         };
-                        waiting.extend_from_slice(&part);
-                        scanner.push(&part);
-                        while let Some(event) = scanner.next_event() {
-                            tokens = event.total_tokens.unwrap_or(tokens);
-                        }
-                        self.note_held(part.len());
+                        self.take_part(&part, &mut waiting);
+                        tokens = scan(&mut scanner, &part).unwrap_or(tokens);
                     }
                     sent = &mut write => {
                         self.held.set(self.held.get() - chunk.len());
@@ -217,12 +213,8 @@
             if waiting.is_empty() && !ended {
                 match reply.body.next_part(deadline).await {
                     Ok(Some(part)) => {
-                        scanner.push(&part);
-                        while let Some(event) = scanner.next_event() {
-                            tokens = event.total_tokens.unwrap_or(tokens);
-                        }
-                        self.note_held(part.len());
-                        waiting.extend_from_slice(&part);
+                        self.take_part(&part, &mut waiting);
+                        tokens = scan(&mut scanner, &part).unwrap_or(tokens);
                     }
                     _ => ended = true,
                 }
@@ -232,8 +224,10 @@
         (kept && writer.finish().await.is_ok(), tokens)
     }
 
-    fn note_held(&self, bytes: usize) {
-        let held = self.held.get() + bytes;
+    /// Keeps a part until the caller reads it.
+    fn take_part(&self, part: &[u8], waiting: &mut Vec<u8>) {
+        waiting.extend_from_slice(part);
+        let held = self.held.get() + part.len();
         self.held.set(held);
         self.held_peak.set(self.held_peak.get().max(held));
     }
@@ -279,6 +273,16 @@
     }
 }
 
+/// The total tokens, if the events of a part state them.
+fn scan(scanner: &mut SseScanner, part: &[u8]) -> Option<u64> {
+    scanner.push(part);
+    let mut tokens = None;
+    while let Some(event) = scanner.next_event() {
+        tokens = event.total_tokens.or(tokens);
+    }
+    tokens
+}
+
 async fn refuse(
     responder: &mut HttpResponder,
     status: u16,
--- a/standins/tests/moves.rs
+++ b/standins/tests/moves.rs
@@ -88,6 +88,13 @@
     state(fleet, id).await
 }
 
+/// The number of the router that drives a move.
+fn driver_of(known: &MoveState) -> usize {
+    let lease = known.lease.as_ref().expect("a driver");
+    let number = lease.holder.vm.strip_prefix("router-");
+    number.expect("a router of the fleet").parse().expect("a number")
+}
+
 #[test]
 fn a_good_version_is_done_in_time() {
     run(async {
@@ -177,12 +184,10 @@
         let load = load(&fleet, 18);
         let id = start(&fleet, Duration::from_secs(18)).await;
         let canary = wait_for_step(&fleet, id, MoveStep::Canary).await;
-        let vm = canary.lease.expect("a driver").holder.vm;
-        let number: usize =
-            vm.strip_prefix("router-").unwrap().parse().unwrap();
+        let number = driver_of(&canary);
         fleet.routers[number].process.signal(Signal::Kill);
         let done = wait_for_step(&fleet, id, MoveStep::Done).await;
-        assert_ne!(done.lease.expect("a driver").holder.vm, vm);
+        assert_ne!(driver_of(&done), number);
         load.await;
     });
 }
@@ -195,9 +200,7 @@
         let load = load(&fleet, 18);
         let id = start(&fleet, Duration::from_secs(18)).await;
         let canary = wait_for_step(&fleet, id, MoveStep::Canary).await;
-        let vm = canary.lease.expect("a driver").holder.vm;
-        let number: usize =
-            vm.strip_prefix("router-").unwrap().parse().unwrap();
+        let number = driver_of(&canary);
         fleet.routers[number].process.signal(Signal::Freeze);
         let ctl = fleet.ctl();
         ctl.undo_move("assistant", "test", "frozen").await.unwrap();
