--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -23,8 +23,8 @@
         moves::{EvidenceTally, MovePlan, MoveStartRecord, MoveState},
         ports::{LogRecord, VmEntry, VmRole, VmState},
         routing::{
-            AdmitRequest, SubsetPlan, UpstreamTable, UpstreamView,
-            upstream_shares,
+            AdmitRequest, PlacementHint, SubsetPlan, UpstreamTable,
+            UpstreamView, upstream_shares,
         },
     },
     prost::Message,
@@ -133,6 +133,7 @@
         .map(|number| UpstreamView {
             vm: format!("worker-{number}"),
             address: ([127, 0, 0, 1], number as u16).into(),
+            domain: String::new(),
             service: "assistant".to_owned(),
             version: "v1".to_owned(),
             share: 4,
@@ -142,11 +143,13 @@
     table.update(&views);
     let request = AdmitRequest {
         service: "assistant",
-        version: "v1",
-        class: CallClass::Check,
+        version: Some("v1"),
+        rank: CallClass::Check.priority(),
+        is_draft: false,
         account: "dairy",
         excluded: &[],
         affinity: "dairy/nurses",
+        hint: PlacementHint::default(),
         wait: Duration::ZERO,
         draft_percent: 75,
     };
--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -4,13 +4,14 @@
     cell::RefCell,
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use {
     bytes::Bytes,
-    http::{HeaderMap, Request, StatusCode},
+    http::{HeaderMap, Request, StatusCode, response},
     monoio::net::TcpStream,
     monoio_http::h1::codec::decoder::{
         ChunkedBodyDecoder, ResponseHeadDecoder,
@@ -23,15 +24,27 @@
     encode::{encode_message, payload_of},
 };
 
-/// Idle connections kept for each address.
+/// Idle connections kept for each address, unless set otherwise.
 const POOLED_PER_ADDRESS: usize = 64;
 
-/// Longest time for which an idle connection is reused.
+/// Longest time for which an idle connection is reused, unless the remote
+/// end names a shorter one.
 const POOLED_TIME: Duration = Duration::from_secs(20);
 
+/// A connection is not reused for this part of the idle time that the
+/// remote end names, because it may end the connection at any moment then.
+const IDLE_MARGIN_PERCENT: u32 = 25;
+
 struct IdleConnection {
     connection: HttpConnection,
-    since: Instant,
+    until: Instant,
+}
+
+/// What happened to a request on its way to the remote end.
+enum WriteProgress {
+    Running,
+    Written,
+    Failed,
 }
 
 /// An HTTP client that keeps connections alive for reuse.
@@ -42,6 +55,9 @@
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
     limits: MessageLimits,
     connect_time: Duration,
+    pooled: usize,
+    pooled_time: Duration,
+    takes_unframed: bool,
 }
 
 impl HttpClient {
@@ -51,9 +67,26 @@
             idle: Rc::default(),
             limits: MessageLimits::new().with_body_bytes(64 * 1024 * 1024),
             connect_time: Duration::from_secs(1),
+            pooled: POOLED_PER_ADDRESS,
+            pooled_time: POOLED_TIME,
+            takes_unframed: false,
         }
     }
 
+    /// Sets how many idle connections are kept for each address, and the
+    /// longest time for which one is reused.
+    pub fn with_pool(mut self, count: usize, time: Duration) -> HttpClient {
+        self.pooled = count;
+        self.pooled_time = time;
+        self
+    }
+
+    /// Takes answers without a length, which end with their connection.
+    pub fn with_unframed(mut self) -> HttpClient {
+        self.takes_unframed = true;
+        self
+    }
+
     /// Sets the longest time to wait for a connection.
     pub fn with_connect_time(mut self, time: Duration) -> HttpClient {
         self.connect_time = time;
@@ -90,24 +123,50 @@
     fn take_idle(&self, address: SocketAddr) -> Option<HttpConnection> {
         let mut pool = self.idle.borrow_mut();
         let list = pool.get_mut(&address)?;
-        let idle = list.pop()?;
-        if idle.since.elapsed() > POOLED_TIME {
-            list.clear();
-            return None;
+        let now = Instant::now();
+        while let Some(idle) = list.pop() {
+            if idle.until > now {
+                return Some(idle.connection);
+            }
         }
-        Some(idle.connection)
+        None
     }
 
-    fn put_idle(&self, address: SocketAddr, connection: HttpConnection) {
+    fn put_idle(
+        &self,
+        address: SocketAddr,
+        connection: HttpConnection,
+        time: Duration,
+    ) {
         let mut pool = self.idle.borrow_mut();
         let list = pool.entry(address).or_default();
-        if list.len() < POOLED_PER_ADDRESS {
-            list.push(IdleConnection { connection, since: Instant::now() });
+        let now = Instant::now();
+        list.retain(|idle| idle.until > now);
+        if list.len() < self.pooled {
+            list.push(IdleConnection { connection, until: now + time });
         }
     }
 
+    /// Closes all idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes idle connections that are past their time.
+    pub fn close_expired(&self) {
+        let now = Instant::now();
+        let mut pool = self.idle.borrow_mut();
+        for list in pool.values_mut() {
+            list.retain(|idle| idle.until > now);
+        }
+        pool.retain(|_, list| !list.is_empty());
+    }
+
     /// Sends a request on a connection and reads the head of the answer.
     ///
+    /// The remote end may answer before it has read the whole request. The
+    /// connection is then not used again.
+    ///
     /// # Errors
     ///
     /// Any fault leaves open whether the remote end acted on the request.
@@ -118,26 +177,79 @@
         mut request: Request<Bytes>,
         head_time: Duration,
     ) -> Result<HttpReply, HttpFault> {
-        let host = http::HeaderValue::from_str(&address.to_string())
-            .expect("an address is printable");
-        request.headers_mut().insert(http::header::HOST, host);
+        let headers = request.headers_mut();
+        if !headers.contains_key(http::header::HOST) {
+            let host = http::HeaderValue::from_str(&address.to_string())
+                .expect("an address is printable");
+            headers.insert(http::header::HOST, host);
+        }
         let message = request.map(payload_of);
         let encoded = encode_message(message).await?;
-        write_all(&mut connection.writer, encoded).await?;
         let deadline = Instant::now() + head_time;
-        let decoder = ResponseHeadDecoder;
+        let mut progress = WriteProgress::Running;
+        let head = {
+            let decoder = ResponseHeadDecoder;
+            let HttpConnection { reader, writer } = &mut connection;
+            let mut write = pin!(write_all(writer, encoded));
+            let read = reader.read_head(decoder, &self.limits, deadline);
+            let mut read = pin!(read);
+            loop {
+                let running = matches!(progress, WriteProgress::Running);
+                monoio::select! {
+                    written = &mut write, if running => {
+                        // An answer may be there although the rest of the
+                        // request found no reader any more.
+                        progress = match written {
+                            Ok(()) => WriteProgress::Written,
+                            Err(_) => WriteProgress::Failed,
+                        };
+                    }
+                    head = &mut read => break head?,
+                }
+            }
+        };
+        let is_whole = matches!(progress, WriteProgress::Written);
+        self.open_reply(address, connection, head, is_whole)
+    }
+
+    /// Reads the head of a further answer on a connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`].
+    pub async fn read_reply(
+        &self,
+        address: SocketAddr,
+        mut connection: HttpConnection,
+        deadline: Instant,
+    ) -> Result<HttpReply, HttpFault> {
         let reader = &mut connection.reader;
+        let decoder = ResponseHeadDecoder;
         let head = reader.read_head(decoder, &self.limits, deadline).await?;
-        let length = body_length(&head.headers)?;
-        if length == BodyLength::Absent && head.status != 204 {
-            let reason = "a response without a body length".to_owned();
-            return Err(HttpFault::Malformed { reason });
+        self.open_reply(address, connection, head, true)
+    }
+
+    fn open_reply(
+        &self,
+        address: SocketAddr,
+        connection: HttpConnection,
+        head: response::Parts,
+        is_reusable: bool,
+    ) -> Result<HttpReply, HttpFault> {
+        let mut length = body_length(&head.headers)?;
+        if length == BodyLength::Absent && has_body(head.status) {
+            if !self.takes_unframed {
+                let reason = "a response without a body length".to_owned();
+                return Err(HttpFault::Malformed { reason });
+            }
+            length = BodyLength::UntilClose;
         }
         let closes = head.headers.get(http::header::CONNECTION);
-        let closes = closes.is_some_and(|value| value == "close");
+        let closes = closes.is_some_and(|v| names_close(v.as_bytes()));
         let body = ReplyBody {
             connection: Some(connection),
-            keeps_alive: !closes,
+            keeps_alive: is_reusable && !closes,
+            idle_time: idle_time(&head.headers).unwrap_or(self.pooled_time),
             decoder: ChunkedBodyDecoder::default(),
             length,
             address,
@@ -207,6 +319,29 @@
     }
 }
 
+/// Whether an answer of a status has a body.
+fn has_body(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// Whether a `Connection` header announces the end of the connection.
+fn names_close(value: &[u8]) -> bool {
+    let mut options = value.split(|byte| *byte == b',');
+    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+/// How long the remote end keeps an idle connection, less a margin.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut options = value.split(',');
+    let seconds = options.find_map(|option| {
+        let seconds = option.trim().strip_prefix("timeout=")?;
+        seconds.parse::<u64>().ok()
+    })?;
+    let time = Duration::from_secs(seconds);
+    Some(time * (100 - IDLE_MARGIN_PERCENT) / 100)
+}
+
 /// The head of an answer with its body still to be read.
 pub struct HttpReply {
     /// The status code.
@@ -222,6 +357,7 @@
 pub struct ReplyBody {
     connection: Option<HttpConnection>,
     keeps_alive: bool,
+    idle_time: Duration,
     decoder: ChunkedBodyDecoder,
     length: BodyLength,
     address: SocketAddr,
@@ -240,30 +376,72 @@
     pub async fn next_part(
         &mut self,
         deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        let part = self.read_part(deadline).await?;
+        let ended = match self.length {
+            BodyLength::Chunked | BodyLength::UntilClose => part.is_none(),
+            BodyLength::Absent | BodyLength::Fixed(_) => true,
+        };
+        if ended && let Some(connection) = self.connection.take() {
+            self.retire(connection);
+        }
+        Ok(part)
+    }
+
+    async fn read_part(
+        &mut self,
+        deadline: Instant,
     ) -> Result<Option<Bytes>, HttpFault> {
         let Some(connection) = &mut self.connection else {
             return Ok(None);
         };
         let limits = &self.client.limits;
         let reader = &mut connection.reader;
-        let part = match self.length {
-            BodyLength::Absent | BodyLength::Fixed(0) => None,
+        match self.length {
+            BodyLength::Absent | BodyLength::Fixed(0) => Ok(None),
             BodyLength::Fixed(length) => {
-                Some(reader.read_fixed(length, limits, deadline).await?)
+                reader.read_fixed(length, limits, deadline).await.map(Some)
             }
             BodyLength::Chunked => {
                 let decoder = &mut self.decoder;
-                reader.read_chunk(decoder, limits, deadline).await?
+                reader.read_chunk(decoder, limits, deadline).await
             }
-        };
-        if part.is_none() || self.length != BodyLength::Chunked {
-            // The borrow above proves that the connection is still here.
-            let connection = self.connection.take().expect("connection");
-            if self.keeps_alive {
-                self.client.put_idle(self.address, connection);
+            BodyLength::UntilClose => reader.read_some(deadline).await,
+        }
+    }
+
+    /// Puts the connection of a body that has been read into the pool.
+    ///
+    /// Bytes beyond the body belong to no request, so that a connection with
+    /// such bytes is closed.
+    fn retire(&self, connection: HttpConnection) {
+        let has_surplus = connection.reader.has_surplus();
+        let unframed = self.length == BodyLength::UntilClose;
+        if self.keeps_alive && !has_surplus && !unframed {
+            let time = self.idle_time.min(self.client.pooled_time);
+            self.client.put_idle(self.address, connection, time);
+        }
+    }
+
+    /// Reads the rest of the body and gives the connection back.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplyBody::next_part`]; `Closed` if the connection ends with the
+    /// body.
+    pub async fn into_connection(
+        mut self,
+        deadline: Instant,
+    ) -> Result<HttpConnection, HttpFault> {
+        let is_fixed = matches!(self.length, BodyLength::Fixed(_));
+        while self.read_part(deadline).await?.is_some() {
+            if is_fixed {
+                break;
             }
         }
-        Ok(part)
+        let is_over = self.length == BodyLength::UntilClose;
+        let connection = self.connection.take().filter(|_| !is_over);
+        connection.ok_or(HttpFault::Closed)
     }
 
     /// Reads the whole body.
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -129,6 +129,8 @@
 pub(super) enum BodyLength {
     /// No length at all.
     Absent,
+    /// The body ends with the connection.
+    UntilClose,
     /// A `Content-Length` header.
     Fixed(usize),
     /// Chunked transfer encoding.
@@ -288,6 +290,26 @@
         }
     }
 
+    /// Reads what has arrived of a body that ends with the connection;
+    /// `None` at its end.
+    pub(super) async fn read_some(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        if self.buffer.is_empty() {
+            match self.fill(deadline).await {
+                Err(HttpFault::Truncated) => return Ok(None),
+                other => other?,
+            }
+        }
+        Ok(Some(self.buffer.split().freeze()))
+    }
+
+    /// Whether bytes beyond the last message have been read.
+    pub(super) fn has_surplus(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Reads a whole body.
     pub(super) async fn read_body(
         &mut self,
@@ -296,7 +318,9 @@
         deadline: Instant,
     ) -> Result<Bytes, HttpFault> {
         match length {
-            BodyLength::Absent => return Ok(Bytes::new()),
+            BodyLength::Absent | BodyLength::UntilClose => {
+                return Ok(Bytes::new());
+            }
             BodyLength::Fixed(length) => {
                 return self.read_fixed(length, limits, deadline).await;
             }
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -152,24 +152,26 @@
     /// Sends the head of a chunked response.
     pub async fn start_stream(
         &mut self,
-        mut head: Response<()>,
+        head: Response<()>,
     ) -> Result<StreamWriter<'_>, HttpFault> {
+        self.begin_stream(head).await?;
+        Ok(StreamWriter { responder: self })
+    }
+
+    /// Sends the head of a chunked response, whose chunks follow by
+    /// [`HttpResponder::send_chunk`] and [`HttpResponder::end_stream`].
+    pub async fn begin_stream(
+        &mut self,
+        mut head: Response<()>,
+    ) -> Result<(), HttpFault> {
         self.begun = true;
         self.announce_close(&mut head);
         let encoded = encode_stream_head(head).await?;
-        write_all(&mut self.writer, encoded).await?;
-        Ok(StreamWriter { writer: &mut self.writer })
+        write_all(&mut self.writer, encoded).await
     }
-}
 
-/// Writes the chunks of one response, each flushed at once.
-pub struct StreamWriter<'a> {
-    writer: &'a mut OwnedWriteHalf<TcpStream>,
-}
-
-impl StreamWriter<'_> {
-    /// Sends one chunk.
-    pub async fn send(&mut self, data: &[u8]) -> Result<(), HttpFault> {
+    /// Sends one chunk at once.
+    pub async fn send_chunk(&mut self, data: &[u8]) -> Result<(), HttpFault> {
         // An empty chunk would end the body.
         if data.is_empty() {
             return Ok(());
@@ -178,11 +180,28 @@
         frame.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
         frame.put_slice(data);
         frame.put_slice(b"\r\n");
-        write_all(self.writer, frame.freeze()).await
+        write_all(&mut self.writer, frame.freeze()).await
+    }
+
+    /// Sends the last chunk.
+    pub async fn end_stream(&mut self) -> Result<(), HttpFault> {
+        write_all(&mut self.writer, Bytes::from_static(LAST_CHUNK)).await
+    }
+}
+
+/// Writes the chunks of one response, each flushed at once.
+pub struct StreamWriter<'a> {
+    responder: &'a mut HttpResponder,
+}
+
+impl StreamWriter<'_> {
+    /// Sends one chunk.
+    pub async fn send(&mut self, data: &[u8]) -> Result<(), HttpFault> {
+        self.responder.send_chunk(data).await
     }
 
     /// Sends the last chunk.
     pub async fn finish(self) -> Result<(), HttpFault> {
-        write_all(self.writer, Bytes::from_static(LAST_CHUNK)).await
+        self.responder.end_stream().await
     }
 }
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -45,6 +45,8 @@
 pub enum ProcessSignal {
     /// The router is told to leave.
     Leave,
+    /// The settings may have changed.
+    Reload,
 }
 
 /// A call of another router that waits for its answer.
@@ -107,18 +109,22 @@
 }
 
 async fn forward_signals(signals: mpsc::Sender<ProcessSignal>) {
-    let (term, interrupt) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut term), Ok(mut interrupt)) = (term, interrupt) else {
+    let term = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let hangup = signal(SignalKind::hangup());
+    let (Ok(mut term), Ok(mut interrupt), Ok(mut hangup)) =
+        (term, interrupt, hangup)
+    else {
         log::error!("signals cannot be received");
         return;
     };
     loop {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        if signals.send(ProcessSignal::Leave).await.is_err() {
+        let received = tokio::select! {
+            _ = term.recv() => ProcessSignal::Leave,
+            _ = interrupt.recv() => ProcessSignal::Leave,
+            _ = hangup.recv() => ProcessSignal::Reload,
+        };
+        if signals.send(received).await.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/src/allowance/keeper.rs
@@ -0,0 +1,418 @@
+//! Reading and writing the records, and requests that wait for tokens.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::Notify;
+
+use super::{
+    AllowanceBook, AllowanceDraft, AllowanceView, TokenHold, allowance_key,
+};
+use crate::{
+    catalog::AccountSpec,
+    domain::HolderId,
+    error::{CallError, ErrorKind},
+    membership::VmDirectory,
+    ports::{
+        KeyedFault, KeyedPort, KeyedRecord, LendRequest, PeerAnswer, PeerCall,
+        PeerPort,
+    },
+    timer::TimerService,
+};
+
+/// The topic of the records.
+const TOPIC: &str = "keyed.allowance";
+
+/// Pause after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Longest random pause before an append that another VM outran is repeated.
+const CONFLICT_DELAY_MS: u64 = 12;
+
+/// How often a waiting request looks at the state anew.
+const WAIT_POLL: Duration = Duration::from_millis(40);
+
+/// Requests that arrive within this time share one append.
+const GROUP_DELAY: Duration = Duration::from_millis(2);
+
+/// Peers that a waiting request asks for tokens.
+const LENDERS: usize = 3;
+
+/// Time between two rounds in which a waiting request asks peers.
+const BORROW_PERIOD: Duration = Duration::from_millis(250);
+
+/// Times of a keeper.
+#[derive(Clone, Copy, Debug)]
+pub struct AllowanceOptions {
+    /// Time between two settlements.
+    pub settle_interval: Duration,
+    /// Demand for which tokens are taken ahead of need.
+    pub horizon: Duration,
+    /// Longest wait of a request for tokens.
+    pub reserve_time: Duration,
+}
+
+/// What a keeper needs from outside.
+#[derive(Clone)]
+pub struct AllowancePorts {
+    /// The keyed topics.
+    pub topics: Rc<dyn KeyedPort>,
+    /// The other routers.
+    pub peers: Rc<dyn PeerPort>,
+    /// The known VMs.
+    pub directory: Rc<VmDirectory>,
+    /// The timer service.
+    pub timer: TimerService,
+}
+
+/// The prepaid tokens of one router.
+pub struct AllowanceKeeper {
+    id: HolderId,
+    options: AllowanceOptions,
+    ports: AllowancePorts,
+    book: RefCell<AllowanceBook>,
+    prepaid: RefCell<BTreeMap<String, u64>>,
+    changed: Notify,
+    urgent: Notify,
+    loaded: Cell<bool>,
+    healthy: Cell<bool>,
+    reads: Cell<u64>,
+    leaving: Cell<bool>,
+}
+
+/// Tokens that a request waits for, taken back on drop.
+struct UnmetNeed<'a> {
+    keeper: &'a AllowanceKeeper,
+    account: &'a str,
+    tokens: u64,
+}
+
+impl Drop for UnmetNeed<'_> {
+    fn drop(&mut self) {
+        let mut book = self.keeper.book.borrow_mut();
+        book.remove_unmet(self.account, self.tokens);
+    }
+}
+
+impl AllowanceKeeper {
+    /// Creates a keeper for one incarnation of a router.
+    pub fn new(
+        id: HolderId,
+        options: AllowanceOptions,
+        ports: AllowancePorts,
+    ) -> AllowanceKeeper {
+        let book = AllowanceBook::new(&id.vm, id.incarnation, options.horizon);
+        AllowanceKeeper {
+            id,
+            options,
+            ports,
+            book: RefCell::new(book),
+            prepaid: RefCell::default(),
+            changed: Notify::new(),
+            urgent: Notify::new(),
+            loaded: Cell::new(false),
+            healthy: Cell::new(false),
+            reads: Cell::new(0),
+            leaving: Cell::new(false),
+        }
+    }
+
+    /// Sets the prepaid totals in force.
+    pub fn set_prepaid<'a>(
+        &self,
+        accounts: impl Iterator<Item = &'a AccountSpec>,
+    ) {
+        let mut prepaid = BTreeMap::new();
+        for account in accounts {
+            if let Some(tokens) = account.prepaid {
+                prepaid.insert(account.name.clone(), tokens);
+            }
+        }
+        *self.prepaid.borrow_mut() = prepaid;
+        self.changed.notify_waiters();
+    }
+
+    /// Whether the topic answered the last call.
+    pub fn is_healthy(&self) -> bool {
+        self.healthy.get()
+    }
+
+    /// What is known of an account.
+    pub fn view(&self, account: &str) -> AllowanceView {
+        let prepaid = self.prepaid.borrow().get(account).copied();
+        self.book.borrow().view(account, prepaid.unwrap_or(0))
+    }
+
+    /// Sets tokens of an account aside for a request.
+    ///
+    /// With tokens at hand the call does not wait.
+    ///
+    /// # Errors
+    ///
+    /// `BudgetExhausted` if the account certainly cannot cover `tokens`,
+    /// `BudgetUnavailable` if no tokens arrived within `wait`.
+    pub async fn reserve(
+        self: &Rc<Self>,
+        account: &str,
+        tokens: u64,
+        wait: Duration,
+    ) -> Result<TokenHold, CallError> {
+        let prepaid = self.prepaid.borrow().get(account).copied();
+        let Some(prepaid) = prepaid else {
+            return Ok(TokenHold::unlimited());
+        };
+        if let Some(hold) = self.try_reserve(account, tokens) {
+            return Ok(hold);
+        }
+        if self.is_exhausted(account, prepaid, tokens) {
+            return Err(self.exhausted(account, tokens));
+        }
+        let now = Instant::now();
+        self.book.borrow_mut().add_unmet(account, tokens, now);
+        let unmet = UnmetNeed { keeper: self, account, tokens };
+        let wait = wait.min(self.options.reserve_time);
+        let deadline = now + wait;
+        let fresh = self.reads.get() + 1;
+        let mut borrowed_at: Option<Instant> = None;
+        self.urgent.notify_one();
+        loop {
+            let changed = self.changed.notified();
+            if let Some(hold) = self.try_reserve(account, tokens) {
+                drop(unmet);
+                return Ok(hold);
+            }
+            let known = self.reads.get() >= fresh;
+            if self.is_exhausted(account, prepaid, tokens) {
+                return Err(self.exhausted(account, tokens));
+            }
+            if Instant::now() >= deadline {
+                return Err(self.unavailable(account, tokens));
+            }
+            let lacks = !self.healthy.get() || known;
+            let due = borrowed_at.is_none_or(|t| t.elapsed() >= BORROW_PERIOD);
+            if lacks && due {
+                borrowed_at = Some(Instant::now());
+                if self.borrow(account, tokens).await {
+                    continue;
+                }
+                if !self.healthy.get() && self.loaded.get() {
+                    // Neither the topic nor a peer can give tokens now.
+                    return Err(self.unavailable(account, tokens));
+                }
+            }
+            let _ = monoio::time::timeout(WAIT_POLL, changed).await;
+        }
+    }
+
+    fn try_reserve(
+        self: &Rc<Self>,
+        account: &str,
+        tokens: u64,
+    ) -> Option<TokenHold> {
+        let now = Instant::now();
+        let reserved = self.book.borrow_mut().reserve(account, tokens, now);
+        reserved.then(|| TokenHold::new(self.clone(), account, tokens))
+    }
+
+    fn is_exhausted(&self, account: &str, prepaid: u64, tokens: u64) -> bool {
+        self.book.borrow().is_exhausted(account, prepaid, tokens)
+    }
+
+    pub(super) fn settle(&self, account: &str, tokens: u64, used: u64) {
+        self.book.borrow_mut().settle(account, tokens, used);
+    }
+
+    fn exhausted(&self, account: &str, tokens: u64) -> CallError {
+        let AllowanceView { free, held, .. } = self.view(account);
+        let message = format!(
+            "account {account} has {} tokens left, the request may need \
+             {tokens}",
+            free + held,
+        );
+        CallError::new(ErrorKind::BudgetExhausted, message)
+    }
+
+    fn unavailable(&self, account: &str, tokens: u64) -> CallError {
+        let AllowanceView { free, held, available } = self.view(account);
+        let reachable = self.healthy.get();
+        let message = format!(
+            "{tokens} tokens of {account} did not arrive in time: {free} \
+             free, {held} held, {available} here, store reachable: \
+             {reachable}"
+        );
+        CallError::new(ErrorKind::BudgetUnavailable, message)
+    }
+
+    /// Asks peers for tokens; `true` if one has lent some.
+    async fn borrow(&self, account: &str, tokens: u64) -> bool {
+        let mut lenders = self.book.borrow().lenders(account);
+        lenders.truncate(LENDERS);
+        let request = LendRequest {
+            budget: account.to_owned(),
+            to: self.id.clone(),
+            least: tokens,
+            want: tokens.saturating_mul(2),
+        };
+        for vm in lenders {
+            let Some(peer) = self.ports.directory.peer_address(&vm) else {
+                continue;
+            };
+            let call = PeerCall::Lend(request.clone());
+            let reply = self.ports.peers.call(peer, call).await;
+            let Ok(PeerAnswer::Lent(Some(reply))) = reply else {
+                continue;
+            };
+            let now = Instant::now();
+            log::info!(
+                account, tokens = reply.tokens, peer = vm.as_str();
+                "tokens borrowed"
+            );
+            self.book.borrow_mut().borrow(account, reply.tokens, now);
+            self.changed.notify_waiters();
+            return true;
+        }
+        false
+    }
+
+    /// Gives tokens at hand to a peer for good; zero if there are too few.
+    pub fn lend(&self, request: &LendRequest) -> u64 {
+        let LendRequest { budget, least, want, .. } = request;
+        let tokens = self.book.borrow_mut().lend(budget, *least, *want);
+        if tokens > 0 {
+            log::info!(
+                account = budget.as_str(), tokens,
+                peer = request.to.vm.as_str();
+                "tokens lent"
+            );
+        }
+        tokens
+    }
+
+    /// Reads and writes the records for as long as the task lives.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let synced = self.sync().await;
+            if let Err(fault) = &synced {
+                self.note_fault(fault);
+                self.ports.timer.sleep(RETRY_DELAY).await;
+                continue;
+            }
+            self.note_health(true);
+            let pause = self.ports.timer.sleep(self.options.settle_interval);
+            monoio::select! {
+                () = pause => {}
+                () = self.urgent.notified() => {
+                    self.ports.timer.sleep(GROUP_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Reads everything new, then writes what has changed here.
+    async fn sync(&self) -> Result<(), KeyedFault> {
+        loop {
+            self.read_all().await?;
+            let draft = self.draft();
+            if draft.records.is_empty() {
+                return Ok(());
+            }
+            match self.append(&draft).await {
+                Ok(()) => return Ok(()),
+                Err(KeyedFault::Moved) => {
+                    let delay = rand::random::<u64>() % CONFLICT_DELAY_MS;
+                    let delay = Duration::from_millis(delay);
+                    self.ports.timer.sleep(delay).await;
+                }
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
+    fn draft(&self) -> AllowanceDraft {
+        let mut book = self.book.borrow_mut();
+        if self.leaving.get() {
+            return book.draft_release();
+        }
+        let prepaid = self.prepaid.borrow();
+        let routers = self.ports.directory.entry_count() as u64;
+        book.draft(&prepaid, routers, Instant::now())
+    }
+
+    async fn read_all(&self) -> Result<(), KeyedFault> {
+        loop {
+            let from = self.book.borrow().cursor();
+            let read = async {
+                if !self.loaded.get() {
+                    return self.ports.topics.newest(TOPIC).await;
+                }
+                let topics = &self.ports.topics;
+                topics.read(TOPIC, from, Duration::ZERO).await
+            };
+            let slice = match read.await {
+                Ok(slice) => slice,
+                Err(KeyedFault::Expired) => {
+                    self.loaded.set(false);
+                    continue;
+                }
+                Err(fault) => return Err(fault),
+            };
+            if slice.end < from {
+                // An answer from before what is known here.
+                let reason = "the topic's end went back".to_owned();
+                return Err(KeyedFault::Refused { reason });
+            }
+            self.loaded.set(true);
+            let now = Instant::now();
+            self.book.borrow_mut().apply(&slice.records, slice.next, now);
+            if slice.next >= slice.end {
+                break;
+            }
+        }
+        self.reads.set(self.reads.get() + 1);
+        self.changed.notify_waiters();
+        Ok(())
+    }
+
+    async fn append(&self, draft: &AllowanceDraft) -> Result<(), KeyedFault> {
+        let mut records = Vec::with_capacity(draft.records.len());
+        for (account, record) in &draft.records {
+            records.push(KeyedRecord {
+                key: allowance_key(account, &self.id.vm),
+                value: Some(record.encode()),
+                offset: 0,
+            });
+        }
+        let topics = &self.ports.topics;
+        topics.append_at(TOPIC, draft.at, &records).await?;
+        self.book.borrow_mut().confirm(draft, Instant::now());
+        self.changed.notify_waiters();
+        Ok(())
+    }
+
+    fn note_fault(&self, fault: &KeyedFault) {
+        log::debug!("allowance topic: {fault}");
+        self.note_health(false);
+        self.changed.notify_waiters();
+    }
+
+    fn note_health(&self, healthy: bool) {
+        if self.healthy.replace(healthy) == healthy {
+            return;
+        }
+        let state = if healthy { "regained" } else { "lost" };
+        log::info!(dependency = "allowance topic"; "dependency {state}");
+    }
+
+    /// Gives everything back that no request needs, waiting up to `time`.
+    ///
+    /// Returns `false` if the topic did not take the records.
+    pub async fn drain(&self, time: Duration) -> bool {
+        self.leaving.set(true);
+        let synced = monoio::time::timeout(time, self.sync()).await;
+        matches!(synced, Ok(Ok(())))
+    }
+}
--- a/src/bin/magnolia-router.rs
+++ b/src/bin/magnolia-router.rs
@@ -41,14 +41,7 @@
 fn main() -> ExitCode {
     let options = Options::parse();
     let file = options.settings.display().to_string();
-    let text = match std::fs::read_to_string(&options.settings) {
-        Ok(text) => text,
-        Err(err) => {
-            eprintln!("{file}: (file): {err}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    let settings = match RouterSettings::parse(&file, &text) {
+    let settings = match RouterSettings::load(&options.settings) {
         Ok(settings) => settings,
         Err(faults) => {
             for fault in faults {
--- /dev/null
+++ b/src/catalog/account.rs
@@ -0,0 +1,31 @@
+//! What a client account may use.
+
+/// A client account.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AccountSpec {
+    /// The name of the account.
+    pub name: String,
+    /// The rank of its requests, 0 first. It goes before the route's rank.
+    pub rank: Option<u8>,
+    /// All tokens that the account may ever use. `None` means no bound.
+    pub prepaid: Option<u64>,
+}
+
+impl AccountSpec {
+    /// Creates an account without a rank or a bound.
+    pub fn new(name: impl Into<String>) -> AccountSpec {
+        AccountSpec { name: name.into(), rank: None, prepaid: None }
+    }
+
+    /// Sets the rank.
+    pub fn with_rank(mut self, rank: u8) -> AccountSpec {
+        self.rank = Some(rank);
+        self
+    }
+
+    /// Sets the tokens that the account may use.
+    pub fn with_prepaid(mut self, tokens: u64) -> AccountSpec {
+        self.prepaid = Some(tokens);
+        self
+    }
+}
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -149,6 +149,27 @@
         })
     }
 
+    /// An optional address `IP:PORT`.
+    pub fn optional_address(&mut self, key: &str) -> Option<SocketAddr> {
+        if !self.map.contains_key(key) {
+            return None;
+        }
+        Some(self.address(key))
+    }
+
+    /// A number from 0 to 1, or `default` if it is absent.
+    pub fn fraction(&mut self, key: &str, default: f64) -> f64 {
+        let Some(value) = self.take(key) else {
+            return default;
+        };
+        let number = value.as_f64().filter(|n| (0.0..=1.0).contains(n));
+        number.unwrap_or_else(|| {
+            let found = shown(&value);
+            self.fault(key, format!("expected a number from 0 to 1, {found}"));
+            default
+        })
+    }
+
     /// A list of addresses `IP:PORT`; empty if it is absent.
     pub fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a router process.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use super::{ConfigFault, load_yaml};
 
@@ -13,6 +13,19 @@
     pub operators: SocketAddr,
     /// For other routers.
     pub peers: SocketAddr,
+    /// For entry answers, if they have an address of their own.
+    pub entry: Option<SocketAddr>,
+    /// For checks of readiness, if they have an address of their own.
+    pub readiness: Option<SocketAddr>,
+}
+
+/// How often requests may be sent again, summed over all routers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetrySettings {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond the ratio.
+    pub slack: u32,
 }
 
 /// Where the platform's log is and how long it keeps records.
@@ -63,7 +76,7 @@
 }
 
 /// Settings of a router process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
     /// The name of the VM, as in the platform's list.
     pub vm: String,
@@ -79,8 +92,12 @@
     pub budgets: BudgetSettings,
     /// Bounds on what callers may send and hold.
     pub limits: LimitSettings,
+    /// How often requests may be sent again.
+    pub retries: RetrySettings,
     /// Lifetime of an entry answer.
     pub entry_lifetime: Duration,
+    /// Longest time between the order to leave and the end of the process.
+    pub leave_time: Duration,
     /// Peer addresses of routers to ask at the start, in case the platform
     /// cannot be reached then.
     pub seeds: Vec<SocketAddr>,
@@ -98,6 +115,22 @@
 const MIB: u64 = 1024 * 1024;
 
 impl RouterSettings {
+    /// Reads settings from a YAML file.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the file.
+    pub fn load(path: &Path) -> Result<RouterSettings, Vec<ConfigFault>> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => RouterSettings::parse(&file, &text),
+            Err(err) => {
+                let (key, reason) = ("(file)".to_owned(), err.to_string());
+                Err(vec![ConfigFault { file, key, reason }])
+            }
+        }
+    }
+
     /// Reads settings from a YAML text.
     ///
     /// `docs/CONFIG.md` lists the keys.
@@ -135,6 +168,9 @@
             let wanted = "at least 8 times budgets.settle_interval";
             reader.fault("log.retention", format!("must be {wanted}"));
         }
+        let retries = parse_retries(&mut reader);
+        let leave_time =
+            reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
         let seeds = reader.addresses("seeds");
         let faults = reader.finish_file();
         if !faults.is_empty() {
@@ -148,7 +184,9 @@
             log,
             budgets,
             limits,
+            retries,
             entry_lifetime,
+            leave_time,
             seeds,
         })
     }
@@ -162,8 +200,18 @@
     if callers.port() != 0 && (callers == operators || callers == peers) {
         section.fault("callers", "must differ from the other addresses");
     }
+    let entry = section.optional_address("entry");
+    let readiness = section.optional_address("readiness");
+    section.finish();
+    ListenSettings { callers, operators, peers, entry, readiness }
+}
+
+fn parse_retries(reader: &mut super::YamlReader) -> RetrySettings {
+    let mut section = reader.section("retries");
+    let ratio = section.fraction("ratio", 0.1);
+    let slack = section.number("slack", 20, 0..=1_000_000) as u32;
     section.finish();
-    ListenSettings { callers, operators, peers }
+    RetrySettings { ratio, slack }
 }
 
 fn parse_log(reader: &mut super::YamlReader) -> LogSettings {
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -1,6 +1,6 @@
 //! Error kinds, the answer table and the error value that carries a kind.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use serde::Serialize;
 
@@ -142,25 +142,33 @@
     pub kind: ErrorKind,
     /// One sentence that names the offending value or the next step.
     pub message: String,
-    /// A better estimate than the table's `Retry-After`, in seconds.
-    pub retry_after_s: Option<u32>,
+    /// A better estimate than the table's `Retry-After`.
+    pub retry_wait: Option<Duration>,
 }
 
 impl CallError {
     /// Creates an error of `kind` with a message.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> CallError {
-        CallError { kind, message: message.into(), retry_after_s: None }
+        CallError { kind, message: message.into(), retry_wait: None }
     }
 
-    /// Replaces the table's `Retry-After` by `seconds`.
-    pub fn with_retry_after(mut self, seconds: u32) -> CallError {
-        self.retry_after_s = Some(seconds);
+    /// Replaces the table's `Retry-After` by `wait`.
+    pub fn with_retry_wait(mut self, wait: Duration) -> CallError {
+        self.retry_wait = Some(wait);
         self
     }
 
-    /// Seconds after which a retry makes sense.
+    /// Time after which a retry makes sense.
+    pub fn retry_wait(&self) -> Option<Duration> {
+        let table = self.kind.answer().retry_after_s;
+        let table = table.map(|s| Duration::from_secs(u64::from(s)));
+        self.retry_wait.or(table)
+    }
+
+    /// Whole seconds after which a retry makes sense.
     pub fn retry_after(&self) -> Option<u32> {
-        self.retry_after_s.or(self.kind.answer().retry_after_s)
+        let wait = self.retry_wait()?;
+        Some(wait.as_secs_f64().ceil().max(1.0) as u32)
     }
 
     /// The JSON body of the answer.
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,169 @@
+//! Sending a request to one upstream.
+
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use super::{CallRequest, GatewayCore, expected_time};
+use crate::{
+    ports::{ForwardCall, ForwardReply, ForwardVerdict, UpstreamFault},
+    routing::{HealthChange, UpstreamOutcome, UpstreamSlot},
+};
+
+/// How an attempt began.
+pub(super) enum AttemptStart {
+    /// The upstream answers.
+    Answering(ForwardReply),
+    /// The request did not reach the upstream.
+    Unreachable(UpstreamFault),
+    /// The upstream refused the request without running it.
+    Refused(ForwardVerdict),
+    /// The request left, and what became of it is unknown.
+    Unknown(UpstreamFault),
+    /// The upstream takes longer than it should and was let go.
+    Silent,
+}
+
+/// One request at one upstream.
+pub(super) struct CallAttempt<'a> {
+    pub(super) core: &'a GatewayCore,
+    pub(super) request: &'a Rc<CallRequest>,
+    pub(super) slot: UpstreamSlot,
+    pub(super) resume_after: Option<u64>,
+    /// Whether the request may be taken away from a silent upstream.
+    pub(super) may_move: bool,
+    /// When the request left.
+    pub(super) sent_at: Instant,
+    patience: Duration,
+    was_silent: bool,
+}
+
+impl<'a> CallAttempt<'a> {
+    /// Creates an attempt with a slot at an upstream.
+    pub(super) fn new(
+        core: &'a GatewayCore,
+        request: &'a Rc<CallRequest>,
+        slot: UpstreamSlot,
+    ) -> CallAttempt<'a> {
+        CallAttempt {
+            core,
+            request,
+            slot,
+            resume_after: request.resume_after,
+            may_move: false,
+            sent_at: Instant::now(),
+            patience: core.patience(request),
+            was_silent: false,
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// `note_sent` is called just before the first byte leaves.
+    pub(super) async fn start(
+        &mut self,
+        note_sent: impl FnOnce(),
+    ) -> AttemptStart {
+        let upstream = self.slot.upstream().clone();
+        let ports = &self.core.ports;
+        let link = match ports.upstreams.connect(upstream.address).await {
+            Ok(link) => link,
+            Err(fault) => {
+                self.note(UpstreamOutcome::Unreachable);
+                return AttemptStart::Unreachable(fault);
+            }
+        };
+        self.sent_at = Instant::now();
+        note_sent();
+        let left = self.request.give_up_at() - self.sent_at;
+        let call = ForwardCall {
+            request: self.request.clone(),
+            upstream: upstream.vm,
+            time_left: left,
+            resume_after: self.resume_after,
+        };
+        let sent = {
+            let mut send = pin!(link.send(call));
+            let timely = monoio::time::timeout(self.patience, &mut send).await;
+            match timely {
+                Ok(sent) => sent,
+                Err(_) => {
+                    self.note_silence();
+                    if self.may_move {
+                        return AttemptStart::Silent;
+                    }
+                    send.await
+                }
+            }
+        };
+        let reply = match sent {
+            Ok(reply) => reply,
+            Err(fault) => {
+                self.note(UpstreamOutcome::Lost);
+                return AttemptStart::Unknown(fault);
+            }
+        };
+        if reply.verdict != ForwardVerdict::Ran {
+            return AttemptStart::Refused(reply.verdict);
+        }
+        AttemptStart::Answering(reply)
+    }
+
+    /// Time left until the upstream counts as silent.
+    pub(super) fn patience_left(&self) -> Duration {
+        self.patience.saturating_sub(self.sent_at.elapsed())
+    }
+
+    /// Notes that the upstream has not answered in time.
+    pub(super) fn note_silence(&mut self) {
+        if self.was_silent {
+            return;
+        }
+        self.was_silent = true;
+        let address = self.slot.upstream().address;
+        // The connection may have gone silent rather than the upstream.
+        self.core.ports.upstreams.forget(address);
+        self.note(UpstreamOutcome::Silent);
+    }
+
+    /// Notes that the answer, or its first event, has come.
+    pub(super) fn note_answer(&self) {
+        let expected = expected_time(self.request);
+        let took = self.sent_at.elapsed();
+        let service = &self.request.service;
+        let mut latencies = self.core.latencies.borrow_mut();
+        let slowness = latencies.note(service, expected, took);
+        drop(latencies);
+        if !self.was_silent {
+            self.note(UpstreamOutcome::Answered { slowness });
+        }
+    }
+
+    /// Notes what the request came to, for the upstream's health.
+    pub(super) fn note(&self, outcome: UpstreamOutcome) {
+        let upstream = self.slot.upstream();
+        match self.slot.note_outcome(outcome) {
+            Some(HealthChange::Ejected(time)) => {
+                self.core.metrics.note_event("upstream_ejected");
+                log::info!(
+                    upstream = upstream.vm.as_str(),
+                    service = upstream.service.as_str(),
+                    cause:? = outcome,
+                    time_ms = time.as_millis() as u64;
+                    "upstream ejected"
+                );
+            }
+            Some(HealthChange::Readmitted) => {
+                self.core.metrics.note_event("upstream_readmitted");
+                log::info!(
+                    upstream = upstream.vm.as_str(),
+                    service = upstream.service.as_str();
+                    "upstream readmitted"
+                );
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/core.rs
@@ -0,0 +1,204 @@
+//! What the tasks of a gateway share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use super::{CallRequest, GatewayFront, LatencyBook};
+use crate::{
+    allowance::AllowanceKeeper,
+    catalog::RouteCatalog,
+    config::RouterSettings,
+    domain::HolderId,
+    error::{CallError, ErrorKind},
+    membership::{MemberTable, UpstreamRoster, VmDirectory},
+    ports::{
+        CatalogPort, ForwardPort, KeyedPort, KnownState, PeerPort,
+        UpstreamListPort, VmListPort,
+    },
+    routing::{RetryBudget, UpstreamTable, UpstreamView},
+    telemetry::RouterMetrics,
+    timer::TimerService,
+};
+
+/// Part of the fleet's retries that the routers use, in percent. The rest
+/// is for routers that start anew and know nothing of the time before.
+const RETRY_USE_PERCENT: u32 = 75;
+
+/// The routers together may have this multiple of an engine's slots in
+/// progress, because their loads are uneven.
+const ENGINE_OVERCOMMIT: f64 = 1.5;
+
+/// The routers together may have this multiple of a plain upstream's slots
+/// in progress; the rest waits at the upstream.
+const PLAIN_OVERCOMMIT: f64 = 3.0;
+
+/// Least requests that a router may have in progress at one upstream.
+const LEAST_SHARE: u32 = 2;
+
+/// Routers that are presumed before the list of entry VMs is known.
+const UNKNOWN_ROUTERS: u32 = 16;
+
+/// The outside world of a gateway.
+#[derive(Clone)]
+pub struct GatewayPorts {
+    /// The keyed topics of the platform.
+    pub topics: Rc<dyn KeyedPort>,
+    /// The operators' declarations.
+    pub catalog: Rc<dyn CatalogPort>,
+    /// The registrations of upstreams.
+    pub upstream_list: Rc<dyn UpstreamListPort>,
+    /// The list of entry VMs.
+    pub vm_list: Rc<dyn VmListPort>,
+    /// The upstreams.
+    pub upstreams: Rc<dyn ForwardPort>,
+    /// The other routers.
+    pub peers: Rc<dyn PeerPort>,
+    /// The wire form that callers use.
+    pub front: Rc<dyn GatewayFront>,
+}
+
+/// What the tasks of one gateway share.
+pub struct GatewayCore {
+    /// The settings of the process.
+    pub settings: RouterSettings,
+    /// The identity of this incarnation.
+    pub id: HolderId,
+    /// The outside world.
+    pub ports: GatewayPorts,
+    /// The timer service.
+    pub timer: TimerService,
+    /// The prepaid tokens.
+    pub keeper: Rc<AllowanceKeeper>,
+    /// The upstreams in use.
+    pub table: UpstreamTable,
+    /// The list of entry VMs.
+    pub directory: Rc<VmDirectory>,
+    /// The other routers.
+    pub members: Rc<MemberTable>,
+    /// Metrics.
+    pub metrics: RouterMetrics,
+    /// Whether the gateway is leaving.
+    pub leaving: Cell<bool>,
+    /// Requests of callers in progress.
+    pub in_progress: Cell<usize>,
+    pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
+    pub(super) roster: RefCell<UpstreamRoster>,
+    pub(super) latencies: RefCell<LatencyBook>,
+    pub(super) retries: RefCell<BTreeMap<String, RetryBudget>>,
+}
+
+impl GatewayCore {
+    /// The catalog in force.
+    ///
+    /// # Errors
+    ///
+    /// `NotReady` before one is known.
+    pub fn catalog(&self) -> Result<Rc<RouteCatalog>, CallError> {
+        let catalog = self.catalog.borrow().clone();
+        catalog.ok_or_else(|| {
+            let message = "no configuration is in force here yet";
+            CallError::new(ErrorKind::NotReady, message)
+        })
+    }
+
+    /// Whether the gateway may take requests.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.borrow().is_some()
+            && self.roster.borrow().is_loaded()
+            && !self.leaving.get()
+    }
+
+    /// Takes a catalog into use if it is newer than the one in force.
+    pub(super) fn take_catalog(&self, catalog: RouteCatalog) {
+        let version = catalog.version();
+        let known = self.catalog.borrow().as_ref().map(|c| c.version());
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        self.keeper.set_prepaid(catalog.accounts());
+        log::info!(
+            catalog = version, routes = catalog.route_count();
+            "catalog in force"
+        );
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        let known = KnownState { control_next: 0, list_version: 0 };
+        self.members.set_known(known);
+    }
+
+    /// Recomputes this router's share of each upstream.
+    pub(super) fn refresh_upstreams(&self) {
+        let roster = self.roster.borrow();
+        let catalog = self.catalog.borrow().clone();
+        let routers = self.directory.entry_count().max(1) as f64;
+        let mut views = Vec::new();
+        for entry in roster.usable() {
+            let service = catalog
+                .as_ref()
+                .and_then(|c| c.service(&entry.service).cloned());
+            let is_engine = service.is_some_and(|s| s.engine.is_some());
+            let overcommit =
+                if is_engine { ENGINE_OVERCOMMIT } else { PLAIN_OVERCOMMIT };
+            let slots = f64::from(entry.slots) * overcommit;
+            let share = (slots / routers).ceil() as u32;
+            views.push(UpstreamView {
+                vm: entry.id.clone(),
+                address: entry.address,
+                domain: entry.domain.clone(),
+                service: entry.service.clone(),
+                version: entry.version.clone(),
+                share: share.max(LEAST_SHARE),
+                limit: u32::MAX,
+            });
+        }
+        drop(roster);
+        self.table.update(&views);
+    }
+
+    /// Notes the first attempt of a request.
+    pub(super) fn note_request(&self, service: &str) {
+        self.with_retries(service, RetryBudget::note_request);
+    }
+
+    /// Whether the fleet's budget lets this router send a request again.
+    pub(super) fn has_retry(&self, service: &str) -> bool {
+        self.with_retries(service, |budget| budget.has_credit())
+    }
+
+    /// Takes a retry out of this router's part of the fleet's budget.
+    pub(super) fn try_retry(&self, service: &str) -> bool {
+        self.with_retries(service, RetryBudget::try_spend)
+    }
+
+    fn with_retries<T>(
+        &self,
+        service: &str,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.to_owned()).or_insert_with(|| {
+            let settings = self.settings.retries;
+            let routers = match self.directory.entry_count() {
+                0 => UNKNOWN_ROUTERS,
+                count => count as u32,
+            };
+            let percent = settings.ratio * f64::from(RETRY_USE_PERCENT);
+            let saved = settings.slack * RETRY_USE_PERCENT / 100 / routers;
+            RetryBudget::with_limits(percent as u32, (saved / 2).max(1))
+        });
+        act(budget)
+    }
+
+    /// How long an upstream may take to begin its answer to a request.
+    pub(super) fn patience(
+        &self,
+        request: &CallRequest,
+    ) -> std::time::Duration {
+        let latencies = self.latencies.borrow();
+        let expected = super::expected_time(request);
+        let objective = request.route.objective;
+        latencies.patience(&request.service, expected, objective)
+    }
+}
--- /dev/null
+++ b/src/gateway/dispatch.rs
@@ -0,0 +1,558 @@
+//! Serving one request.
+//!
+//! A request passes through these states: it waits for tokens of its client
+//! account, waits for a slot at an upstream, is sent, and is answered. Until
+//! it is sent it has not run, and is refused as such. Afterwards it may be
+//! sent again only if its kind allows that, or if the upstream said that it
+//! did not run the request.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, Response, StatusCode};
+
+use super::{
+    CallRequest, GatewayCore,
+    attempt::{AttemptStart, CallAttempt},
+    relay::{EventRelay, RelayEnd, StreamPosition},
+};
+use crate::{
+    adapters::http::{HttpResponder, RequestReader},
+    allowance::TokenHold,
+    error::{CallError, ErrorKind},
+    ports::{ForwardReply, ForwardVerdict, UpstreamFault, UpstreamParts},
+    routing::{AdmitRequest, PlacementHint, UpstreamOutcome, UpstreamSlot},
+};
+
+/// Most upstreams that may refuse a request before it is refused.
+const LARGEST_REFUSALS: u32 = 3;
+
+/// Part of the objective for which a request waits for a slot or tokens.
+const WAIT_PART: f64 = 0.75;
+
+/// Longest wait for a slot or tokens.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// A request is not sent again with less time left than this.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(50);
+
+/// How the service of a request ended.
+enum CallEnd {
+    /// The caller has the whole answer with this status.
+    Answered(StatusCode),
+    /// The caller is gone.
+    CallerGone,
+    /// The request gets an answer that tells about an error.
+    Failed(CallError),
+}
+
+/// How far a request has come, for those who end it from outside.
+#[derive(Default)]
+struct CallProgress {
+    may_have_run: Cell<bool>,
+    sends: Cell<u32>,
+    events: Cell<u64>,
+}
+
+/// Serves one request; `false` if the connection has to be closed.
+pub(super) async fn serve(
+    core: &Rc<GatewayCore>,
+    request: &Rc<CallRequest>,
+    reader: &mut RequestReader,
+    responder: &mut HttpResponder,
+) -> bool {
+    let progress = CallProgress::default();
+    core.note_request(&request.service);
+    let end = {
+        let dispatch = CallDispatch::new(core, request, &progress);
+        let give_up =
+            request.give_up_at().saturating_duration_since(Instant::now());
+        monoio::select! {
+            biased;
+            end = dispatch.run(responder) => end,
+            () = caller_gone(reader, request, &progress) => {
+                CallEnd::CallerGone
+            }
+            () = monoio::time::sleep(give_up) => {
+                CallEnd::Failed(out_of_time(&progress))
+            }
+        }
+    };
+    finish(core, request, &progress, end, responder).await
+}
+
+/// Completes when the caller has gone and nobody needs the answer.
+///
+/// A call that runs once is not cut off half-way: it may already have had an
+/// effect, and ending it early would only hide which one.
+async fn caller_gone(
+    reader: &mut RequestReader,
+    request: &CallRequest,
+    progress: &CallProgress,
+) {
+    reader.wait_closed().await;
+    let is_once = request.route.kind == crate::catalog::CallKind::Once;
+    if is_once && progress.may_have_run.get() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn out_of_time(progress: &CallProgress) -> CallError {
+    if progress.may_have_run.get() {
+        let message = "no upstream answered within the time of the request";
+        return CallError::new(ErrorKind::UpstreamTimeout, message);
+    }
+    let message = "no upstream took the request within its time";
+    CallError::new(ErrorKind::Overloaded, message)
+}
+
+/// Tells the caller about an error and writes the request's log line.
+async fn finish(
+    core: &GatewayCore,
+    request: &CallRequest,
+    progress: &CallProgress,
+    end: CallEnd,
+    responder: &mut HttpResponder,
+) -> bool {
+    let account = request.account_name();
+    let took = request.arrived.elapsed();
+    let (outcome, keeps) = match end {
+        CallEnd::Answered(status) => {
+            core.metrics.note_duration(account, &request.service, took);
+            (status.as_str().to_owned(), true)
+        }
+        CallEnd::CallerGone => ("caller_gone".to_owned(), false),
+        CallEnd::Failed(error) => {
+            let code = error.kind.code().to_owned();
+            log::info!(
+                request_id = request.id.as_str(), kind = code.as_str(),
+                retry_ms = error.retry_wait().map_or(0, |w| {
+                    w.as_millis() as u64
+                });
+                "request failed: {}", error.message
+            );
+            let keeps = if responder.has_begun() {
+                false
+            } else {
+                let answer = core.ports.front.error_answer(&error);
+                responder.send(answer).await.is_ok()
+            };
+            (code, keeps)
+        }
+    };
+    core.metrics.note_answer(account, &outcome);
+    log::info!(
+        request_id = request.id.as_str(),
+        account,
+        route = request.route.name.as_str(),
+        catalog = request.catalog_version,
+        sends = progress.sends.get(),
+        events = progress.events.get(),
+        took_ms = took.as_millis() as u64,
+        outcome = outcome.as_str();
+        "request ended"
+    );
+    keeps
+}
+
+/// What comes after an attempt.
+enum NextStep {
+    /// The request is over.
+    End(CallEnd),
+    /// Another upstream is tried.
+    TryAgain,
+}
+
+/// The service of one request.
+struct CallDispatch<'a> {
+    core: &'a Rc<GatewayCore>,
+    request: &'a Rc<CallRequest>,
+    progress: &'a CallProgress,
+    excluded: Vec<String>,
+    refusals: u32,
+    failure: Option<CallError>,
+    position: StreamPosition,
+}
+
+impl<'a> CallDispatch<'a> {
+    fn new(
+        core: &'a Rc<GatewayCore>,
+        request: &'a Rc<CallRequest>,
+        progress: &'a CallProgress,
+    ) -> CallDispatch<'a> {
+        let position =
+            StreamPosition { last_event: request.resume_after, events: 0 };
+        CallDispatch {
+            core,
+            request,
+            progress,
+            excluded: Vec::new(),
+            refusals: 0,
+            failure: None,
+            position,
+        }
+    }
+
+    async fn run(mut self, responder: &mut HttpResponder) -> CallEnd {
+        let hold = match self.reserve().await {
+            Ok(hold) => hold,
+            Err(error) => return CallEnd::Failed(error),
+        };
+        loop {
+            let slot = match self.admit().await {
+                Ok(slot) => slot,
+                // The failure of an attempt says more than the lack of a
+                // further upstream.
+                Err(error) => {
+                    let failure = self.failure.take();
+                    return CallEnd::Failed(failure.unwrap_or(error));
+                }
+            };
+            let step = self.attempt(slot, &hold, responder).await;
+            match step {
+                NextStep::End(end) => return end,
+                NextStep::TryAgain => {}
+            }
+        }
+    }
+
+    /// Sets the tokens aside that the request may use.
+    async fn reserve(&self) -> Result<TokenHold, CallError> {
+        let request = self.request;
+        let tokens = request.ceiling.total();
+        if tokens == 0 {
+            return Ok(TokenHold::unlimited());
+        }
+        let account = request.account_name();
+        let wait = self.longest_wait();
+        self.core.keeper.reserve(account, tokens, wait).await
+    }
+
+    fn longest_wait(&self) -> Duration {
+        let request = self.request;
+        let left = request.give_up_at() - request.arrived;
+        let wait = request.route.objective.mul_f64(WAIT_PART);
+        wait.min(left / 2).min(LONGEST_WAIT)
+    }
+
+    async fn admit(&self) -> Result<UpstreamSlot, CallError> {
+        let request = self.request;
+        let shared = request.shared_part();
+        let affinity = shared.unwrap_or(&request.id);
+        let hint = PlacementHint {
+            prompt_tokens: request.ceiling.prompt,
+            shared_tokens: request.shared_tokens(),
+            domain: self.core.settings.domain.clone(),
+        };
+        let admit = AdmitRequest {
+            service: &request.service,
+            version: None,
+            rank: request.rank,
+            is_draft: false,
+            account: request.account_name(),
+            excluded: &self.excluded,
+            affinity,
+            hint,
+            wait: self.longest_wait(),
+            draft_percent: 100,
+        };
+        self.core.table.admit(&admit).await
+    }
+
+    /// Whether the request may run at a further upstream.
+    fn may_run_again(&self) -> bool {
+        let request = self.request;
+        let left = request.give_up_at() - Instant::now();
+        request.route.kind.may_repeat()
+            && self.progress.sends.get() < request.route.attempts
+            && left > LEAST_TIME_LEFT
+    }
+
+    async fn attempt(
+        &mut self,
+        slot: UpstreamSlot,
+        hold: &TokenHold,
+        responder: &mut HttpResponder,
+    ) -> NextStep {
+        let (core, request, progress) =
+            (self.core, self.request, self.progress);
+        let upstream = slot.upstream().vm.clone();
+        let mut attempt = CallAttempt::new(core, request, slot);
+        attempt.resume_after = self.position.last_event;
+        // One attempt is under way; another one has to be left after it.
+        attempt.may_move = request.route.kind.may_repeat()
+            && progress.sends.get() + 1 < request.route.attempts
+            && core.has_retry(&request.service);
+        let ran_before = progress.may_have_run.get();
+        let note_sent = || {
+            progress.may_have_run.set(true);
+            progress.sends.set(progress.sends.get() + 1);
+            hold.note_used(hold.used().max(request.ceiling.prompt));
+        };
+        let start = attempt.start(note_sent).await;
+        match start {
+            AttemptStart::Answering(reply) => {
+                self.answer(attempt, reply, hold, responder).await
+            }
+            AttemptStart::Unreachable(fault) => {
+                self.log_attempt(&upstream, &fault.to_string());
+                self.excluded.push(upstream);
+                self.refused(ErrorKind::NoUpstream, false)
+            }
+            AttemptStart::Refused(verdict) => {
+                self.log_attempt(&upstream, &format!("{verdict:?}"));
+                progress.sends.set(progress.sends.get() - 1);
+                if !ran_before {
+                    progress.may_have_run.set(false);
+                    hold.note_used(0);
+                }
+                self.excluded.push(upstream);
+                let kind = match verdict {
+                    ForwardVerdict::Full => ErrorKind::Overloaded,
+                    _ => ErrorKind::NoUpstream,
+                };
+                self.refused(kind, true)
+            }
+            AttemptStart::Unknown(fault) => {
+                self.log_attempt(&upstream, &fault.to_string());
+                self.excluded.push(upstream);
+                self.lost(&fault)
+            }
+            AttemptStart::Silent => {
+                self.log_attempt(&upstream, "no answer in time");
+                self.excluded.push(upstream);
+                self.lost(&UpstreamFault::TimedOut)
+            }
+        }
+    }
+
+    fn log_attempt(&self, upstream: &str, reason: &str) {
+        log::info!(
+            request_id = self.request.id.as_str(),
+            service = self.request.service.as_str(),
+            upstream,
+            sends = self.progress.sends.get();
+            "attempt failed: {reason}"
+        );
+    }
+
+    /// Goes on after an upstream that did not run the request.
+    fn refused(&mut self, kind: ErrorKind, arrived: bool) -> NextStep {
+        self.refusals += 1;
+        let service = &self.request.service;
+        let allowed = !arrived || self.core.try_retry(service);
+        if self.refusals <= LARGEST_REFUSALS && allowed {
+            return NextStep::TryAgain;
+        }
+        if let Some(failure) = self.failure.take() {
+            return NextStep::End(CallEnd::Failed(failure));
+        }
+        let message = format!("no upstream of {service} took the request");
+        NextStep::End(CallEnd::Failed(CallError::new(kind, message)))
+    }
+
+    /// Goes on after a request that may have run without an answer.
+    fn lost(&mut self, fault: &UpstreamFault) -> NextStep {
+        let error = lost_error(self.request, fault);
+        let again =
+            self.may_run_again() && self.core.try_retry(&self.request.service);
+        if !again {
+            return NextStep::End(CallEnd::Failed(error));
+        }
+        self.failure = Some(error);
+        NextStep::TryAgain
+    }
+
+    /// Brings an answer to the caller.
+    async fn answer(
+        &mut self,
+        attempt: CallAttempt<'a>,
+        reply: ForwardReply,
+        hold: &TokenHold,
+        responder: &mut HttpResponder,
+    ) -> NextStep {
+        let request = self.request;
+        let is_stream = request.route.kind.is_stream();
+        if is_stream && reply.status == StatusCode::OK {
+            return self.answer_stream(attempt, reply, hold, responder).await;
+        }
+        let ForwardReply { status, headers, mut parts, .. } = reply;
+        let upstream = attempt.slot.upstream().vm.clone();
+        let deadline = request.give_up_at();
+        let body = match collect(parts.as_mut(), deadline).await {
+            Ok(body) => body,
+            Err(fault) => {
+                attempt.note(UpstreamOutcome::Lost);
+                self.log_attempt(&upstream, &fault.to_string());
+                self.excluded.push(upstream);
+                return self.lost(&fault);
+            }
+        };
+        if status.is_server_error() {
+            attempt.note(UpstreamOutcome::Failed);
+            self.log_attempt(&upstream, status.as_str());
+            let is_idle = self.position.events == 0;
+            let again = is_idle
+                && self.may_run_again()
+                && self.core.try_retry(&request.service);
+            if again {
+                self.excluded.push(upstream);
+                return NextStep::TryAgain;
+            }
+        } else {
+            attempt.note_answer();
+        }
+        drop(attempt);
+        if responder.has_begun() {
+            // A stream cannot go on with an answer of another kind.
+            let fault = UpstreamFault::Broken { reason: status.to_string() };
+            let error = lost_error(request, &fault);
+            return NextStep::End(CallEnd::Failed(error));
+        }
+        let mut response = Response::new(body.into());
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        let end = match responder.send(response).await {
+            Ok(()) => CallEnd::Answered(status),
+            Err(_) => CallEnd::CallerGone,
+        };
+        NextStep::End(end)
+    }
+
+    async fn answer_stream(
+        &mut self,
+        mut attempt: CallAttempt<'a>,
+        reply: ForwardReply,
+        hold: &TokenHold,
+        responder: &mut HttpResponder,
+    ) -> NextStep {
+        let request = self.request;
+        let ForwardReply { status, headers, mut parts, .. } = reply;
+        let upstream = attempt.slot.upstream().vm.clone();
+        let deadline = request.give_up_at();
+        let mut relay = self.relay(hold);
+        let first =
+            first_event(&mut attempt, &mut relay, parts.as_mut(), deadline);
+        let first = match first.await {
+            Ok(first) => first,
+            Err(fault) => {
+                drop(parts);
+                if fault != UpstreamFault::TimedOut {
+                    attempt.note(UpstreamOutcome::Lost);
+                }
+                self.log_attempt(&upstream, &fault.to_string());
+                self.excluded.push(upstream);
+                return self.lost(&fault);
+            }
+        };
+        if first {
+            attempt.note_answer();
+            let account = request.account_name();
+            let took = request.arrived.elapsed();
+            let metrics = &self.core.metrics;
+            metrics.note_first_token(account, &request.route.name, took);
+        }
+        if !responder.has_begun()
+            && begin(responder, status, headers).await.is_err()
+        {
+            return NextStep::End(CallEnd::CallerGone);
+        }
+        let end = relay.run(parts.as_mut(), responder, deadline).await;
+        self.position = relay.position();
+        self.progress.events.set(self.position.events);
+        drop(parts);
+        let fault = match end {
+            RelayEnd::Complete => {
+                return NextStep::End(CallEnd::Answered(status));
+            }
+            RelayEnd::CallerGone => {
+                return NextStep::End(CallEnd::CallerGone);
+            }
+            RelayEnd::Broken(fault) => {
+                attempt.note(UpstreamOutcome::Lost);
+                fault
+            }
+            RelayEnd::Silent => {
+                attempt.note_silence();
+                UpstreamFault::TimedOut
+            }
+        };
+        self.log_attempt(&upstream, &fault.to_string());
+        self.excluded.push(upstream);
+        self.lost(&fault)
+    }
+
+    fn relay(&self, hold: &'a TokenHold) -> EventRelay<'a> {
+        let request = self.request;
+        let catalog = self.core.catalog().ok();
+        let service =
+            catalog.and_then(|c| c.service(&request.service).cloned());
+        let engine = service.and_then(|service| service.engine);
+        let event_tokens = engine.map_or(1, |engine| engine.event_tokens);
+        let ceiling = request.ceiling;
+        let relay = EventRelay::new(self.core, hold, self.position).with_cost(
+            ceiling.prompt,
+            event_tokens,
+            ceiling.output,
+        );
+        if self.may_run_again() && self.core.has_retry(&request.service) {
+            return relay.with_gap_objective(request.route.gap_objective);
+        }
+        relay
+    }
+}
+
+/// Waits for the first event, as long as the upstream may take.
+async fn first_event(
+    attempt: &mut CallAttempt<'_>,
+    relay: &mut EventRelay<'_>,
+    parts: &mut dyn UpstreamParts,
+    deadline: Instant,
+) -> Result<bool, UpstreamFault> {
+    let until = Instant::now() + attempt.patience_left();
+    let until = until.min(deadline);
+    let received = relay.receive_first(parts, until).await;
+    if received != Err(UpstreamFault::TimedOut) {
+        return received;
+    }
+    attempt.note_silence();
+    if attempt.may_move {
+        return received;
+    }
+    relay.receive_first(parts, deadline).await
+}
+
+async fn begin(
+    responder: &mut HttpResponder,
+    status: StatusCode,
+    headers: HeaderMap,
+) -> Result<(), crate::adapters::http::HttpFault> {
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    *head.headers_mut() = headers;
+    responder.begin_stream(head).await
+}
+
+async fn collect(
+    parts: &mut dyn UpstreamParts,
+    deadline: Instant,
+) -> Result<Vec<u8>, UpstreamFault> {
+    let mut body = Vec::new();
+    while let Some(part) = parts.next_part(deadline).await? {
+        body.extend_from_slice(&part);
+    }
+    Ok(body)
+}
+
+/// The error of a request that was sent and has no answer.
+fn lost_error(request: &CallRequest, fault: &UpstreamFault) -> CallError {
+    let kind = match fault {
+        UpstreamFault::TimedOut => ErrorKind::UpstreamTimeout,
+        _ if request.route.kind.may_repeat() => ErrorKind::UpstreamFailed,
+        _ => ErrorKind::OutcomeUnknown,
+    };
+    CallError::new(kind, format!("the upstream failed: {fault}"))
+}
--- /dev/null
+++ b/src/gateway/entry.rs
@@ -0,0 +1,132 @@
+//! Answers to callers that ask where to connect, and to checks.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use monoio::net::{TcpListener, TcpStream};
+
+use super::GatewayCore;
+use crate::{
+    adapters::http::{
+        HttpConnection, HttpRequest, MessageLimits, text_response,
+    },
+    entry::EntryHealth,
+    ports::{VmRole, VmState},
+};
+
+/// Longest time for which an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most addresses in an answer.
+const LARGEST_ANSWER: usize = 64;
+
+/// Who asks where to connect.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryQuery {
+    /// The region of the caller.
+    pub region: String,
+    /// The failure domain of the caller.
+    pub domain: String,
+}
+
+/// What a listener beside that of callers answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListenerRole {
+    /// Callers that ask where to connect.
+    Entry,
+    /// Checks of readiness.
+    Readiness,
+    /// Metrics.
+    Metrics,
+}
+
+/// Answers for as long as the task lives.
+pub(super) async fn run_listener(
+    core: Rc<GatewayCore>,
+    listener: TcpListener,
+    role: ListenerRole,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            core.timer.sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        monoio::spawn(serve_connection(core.clone(), stream, role));
+    }
+}
+
+async fn serve_connection(
+    core: Rc<GatewayCore>,
+    stream: TcpStream,
+    role: ListenerRole,
+) {
+    let connection = HttpConnection::new(stream);
+    let (mut reader, mut responder) =
+        connection.into_server(MessageLimits::new());
+    while let Ok(request) = reader.next_request(IDLE_TIME).await {
+        let keeps = request.keeps_alive();
+        responder.reset(!keeps);
+        let answer = answer(&core, &request, role);
+        if responder.send(answer).await.is_err() || !keeps {
+            return;
+        }
+    }
+}
+
+fn answer(
+    core: &GatewayCore,
+    request: &HttpRequest,
+    role: ListenerRole,
+) -> http::Response<bytes::Bytes> {
+    let front = &core.ports.front;
+    match role {
+        ListenerRole::Entry => front.entry_answer(core, request),
+        ListenerRole::Readiness => {
+            front.readiness_answer(request, core.is_ready())
+        }
+        ListenerRole::Metrics => text_response(200, core.metrics.render()),
+    }
+}
+
+impl GatewayCore {
+    /// The addresses that a caller may connect to, in no order.
+    ///
+    /// Callers choose among them at random. Routers that are believed dead
+    /// or that leave are left out, unless no other is known.
+    pub fn entry_addresses(&self, query: &EntryQuery) -> Vec<SocketAddr> {
+        let vms = self.directory.vms();
+        let mut usable = Vec::new();
+        let mut all = Vec::new();
+        for (vm, entry) in vms.iter() {
+            let is_entry =
+                entry.role == VmRole::Entry && entry.state == VmState::Live;
+            if !is_entry {
+                continue;
+            }
+            all.push(entry.address);
+            if !self.entry_health(vm).unusable {
+                usable.push((entry.region != query.region, entry.address));
+            }
+        }
+        usable.sort();
+        let mut addresses: Vec<SocketAddr> =
+            usable.into_iter().map(|(_, address)| address).collect();
+        if addresses.is_empty() {
+            addresses = all;
+        }
+        if addresses.is_empty() {
+            addresses.push(self.settings.listen.callers);
+        }
+        addresses.truncate(LARGEST_ANSWER);
+        addresses
+    }
+
+    fn entry_health(&self, vm: &str) -> EntryHealth {
+        if *vm != self.settings.vm {
+            return self.members.health(vm);
+        }
+        EntryHealth { unusable: self.leaving.get(), full: false }
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,141 @@
+//! Following the declarations, the upstreams and the entry VMs.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use super::GatewayCore;
+use crate::ports::KeyedFault;
+
+/// Pause after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Time between two reads of the registered upstreams. A leaving upstream
+/// has to be known within two seconds.
+const UPSTREAM_PERIOD: Duration = Duration::from_millis(400);
+
+/// Longest wait of one read of the list of entry VMs.
+const VM_LIST_WAIT: Duration = Duration::from_secs(1);
+
+/// Writes one line when a dependency is lost, and one when it is back.
+struct DependencyLog {
+    name: &'static str,
+    is_lost: bool,
+}
+
+impl DependencyLog {
+    fn new(name: &'static str) -> DependencyLog {
+        DependencyLog { name, is_lost: false }
+    }
+
+    fn note_fault(&mut self, fault: &dyn std::fmt::Display) {
+        if !self.is_lost {
+            log::warn!(dependency = self.name; "dependency lost: {fault}");
+        }
+        self.is_lost = true;
+    }
+
+    fn note_answer(&mut self) {
+        if self.is_lost {
+            log::info!(dependency = self.name; "dependency regained");
+        }
+        self.is_lost = false;
+    }
+}
+
+/// Follows the declarations for as long as the task lives.
+pub(super) async fn run_catalog(core: Rc<GatewayCore>) {
+    let mut dependency = DependencyLog::new("declarations");
+    loop {
+        let next = core.ports.catalog.next().await;
+        match next {
+            Ok(catalog) => {
+                dependency.note_answer();
+                if let Some(catalog) = catalog {
+                    core.take_catalog(catalog);
+                    core.refresh_upstreams();
+                }
+            }
+            Err(fault) => {
+                dependency.note_fault(&fault);
+                core.timer.sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Follows the registered upstreams for as long as the task lives.
+pub(super) async fn run_upstreams(core: Rc<GatewayCore>) {
+    let mut dependency = DependencyLog::new("upstream list");
+    loop {
+        let polled = core.ports.upstream_list.poll().await;
+        let changed = match polled {
+            Ok(news) => {
+                dependency.note_answer();
+                core.take_upstream_news(news)
+            }
+            Err(fault) => {
+                dependency.note_fault(&fault);
+                core.note_upstream_fault(&fault)
+            }
+        };
+        if changed {
+            core.refresh_upstreams();
+        }
+        core.timer.sleep(UPSTREAM_PERIOD).await;
+    }
+}
+
+/// Follows the entry VMs for as long as the task lives.
+pub(super) async fn run_vm_list(core: Rc<GatewayCore>) {
+    let mut dependency = DependencyLog::new("list of entry VMs");
+    loop {
+        let since = core.directory.version();
+        match core.ports.vm_list.watch(since, VM_LIST_WAIT).await {
+            Ok(list) => {
+                dependency.note_answer();
+                if list.version > since {
+                    log::info!(
+                        vms = list.vms.len(), version = list.version;
+                        "list of entry VMs changed"
+                    );
+                    core.directory.update(list);
+                    core.refresh_upstreams();
+                }
+            }
+            Err(fault) => {
+                dependency.note_fault(&fault);
+                core.timer.sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+impl GatewayCore {
+    fn take_upstream_news(
+        &self,
+        news: Vec<crate::ports::UpstreamNews>,
+    ) -> bool {
+        let now = Instant::now();
+        let mut roster = self.roster.borrow_mut();
+        roster.note_answer(now);
+        let mut changed = roster.expire(now);
+        for change in news {
+            let shown = format!("{change:?}");
+            if roster.take(change, now) {
+                log::info!("upstream list changed: {shown}");
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    fn note_upstream_fault(&self, fault: &KeyedFault) -> bool {
+        log::debug!("upstream list: {fault}");
+        let now = Instant::now();
+        let mut roster = self.roster.borrow_mut();
+        roster.note_fault(now);
+        false
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,38 @@
+//! Requests that are passed on as they came.
+//!
+//! Callers of a gateway speak to the services themselves; the gateway finds
+//! the route, lets the client account pay, chooses an upstream and brings
+//! the answer back. It never reads bodies.
+//!
+//! A [`CallRequest`] is what a front end has understood of one request.
+//! [`GatewayFront`] is the front end: it translates between a wire form and
+//! the gateway's types and decides nothing. Read on in this order:
+//!
+//! * `dispatch` serves one request: tokens, a slot, attempts, an answer.
+//! * `attempt` sends a request to one upstream.
+//! * `relay` copies a stream of events to a caller.
+//! * `patience` tells when an upstream takes longer than it should.
+//! * `callers` and `entry` run the listeners.
+//! * `follow` keeps catalog and upstreams up to date.
+//! * `peers` answers other routers.
+//! * [`GatewayProcess`] takes the process through its life.
+
+mod attempt;
+mod callers;
+mod core;
+mod dispatch;
+mod entry;
+mod follow;
+mod patience;
+mod peers;
+mod process;
+mod relay;
+mod request;
+
+pub use self::{
+    core::{GatewayCore, GatewayPorts},
+    entry::EntryQuery,
+    patience::{LatencyBook, expected_time},
+    process::{GatewayProcess, Leaving, Serving, Starting},
+    request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
+};
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,239 @@
+//! Copying a stream of events to a caller.
+//!
+//! Only whole events go to the caller, so that a stream that breaks off
+//! inside an event can go on at another upstream. While an event is on its
+//! way to a slow caller, further ones are read ahead up to a bound.
+
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
+
+use bytes::BytesMut;
+
+use super::GatewayCore;
+use crate::{
+    adapters::http::HttpResponder,
+    allowance::TokenHold,
+    ports::{UpstreamFault, UpstreamParts},
+    router::SseScanner,
+};
+
+/// How long an upstream may pause between two events, as a multiple of the
+/// pause that callers hope for.
+const GAP_FACTOR: u32 = 2;
+
+/// Shortest pause after which an upstream counts as silent.
+const LEAST_GAP: Duration = Duration::from_millis(800);
+
+/// What a caller has of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StreamPosition {
+    /// Number of the last event.
+    pub(super) last_event: Option<u64>,
+    /// Events that were passed on.
+    pub(super) events: u64,
+}
+
+/// How a relayed stream ended.
+#[derive(Debug)]
+pub(super) enum RelayEnd {
+    /// The caller has the whole stream.
+    Complete,
+    /// The caller is gone.
+    CallerGone,
+    /// The upstream broke off.
+    Broken(UpstreamFault),
+    /// The upstream paused for too long.
+    Silent,
+}
+
+/// One stream on its way.
+pub(super) struct EventRelay<'a> {
+    core: &'a GatewayCore,
+    hold: &'a TokenHold,
+    prompt_tokens: u64,
+    output_ceiling: u64,
+    event_tokens: u64,
+    gap: Option<Duration>,
+    scanner: SseScanner,
+    position: StreamPosition,
+    ended: bool,
+}
+
+impl<'a> EventRelay<'a> {
+    /// Creates a relay that goes on behind `position`.
+    pub(super) fn new(
+        core: &'a GatewayCore,
+        hold: &'a TokenHold,
+        position: StreamPosition,
+    ) -> EventRelay<'a> {
+        EventRelay {
+            core,
+            hold,
+            prompt_tokens: 0,
+            output_ceiling: 0,
+            event_tokens: 0,
+            gap: None,
+            scanner: SseScanner::new(),
+            position,
+            ended: false,
+        }
+    }
+
+    /// Sets what the prompt and each event cost, and the ceiling.
+    pub(super) fn with_cost(
+        mut self,
+        prompt_tokens: u64,
+        event_tokens: u64,
+        output_ceiling: u64,
+    ) -> EventRelay<'a> {
+        self.prompt_tokens = prompt_tokens;
+        self.event_tokens = event_tokens;
+        self.output_ceiling = output_ceiling;
+        self
+    }
+
+    /// Gives an upstream up that pauses for much longer than `objective`.
+    pub(super) fn with_gap_objective(
+        mut self,
+        objective: Duration,
+    ) -> EventRelay<'a> {
+        self.gap = Some((objective * GAP_FACTOR).max(LEAST_GAP));
+        self
+    }
+
+    /// What the caller has.
+    pub(super) fn position(&self) -> StreamPosition {
+        self.position
+    }
+
+    /// Waits until a first whole event is there; `false` at the end of a
+    /// stream without events.
+    pub(super) async fn receive_first(
+        &mut self,
+        parts: &mut dyn UpstreamParts,
+        deadline: Instant,
+    ) -> Result<bool, UpstreamFault> {
+        while !self.scanner.has_event() {
+            self.receive(parts, deadline).await?;
+            if self.ended {
+                break;
+            }
+        }
+        Ok(self.scanner.has_event())
+    }
+
+    /// Relays events until the stream ends.
+    pub(super) async fn run(
+        &mut self,
+        parts: &mut dyn UpstreamParts,
+        responder: &mut HttpResponder,
+        deadline: Instant,
+    ) -> RelayEnd {
+        loop {
+            let chunk = self.take_chunk();
+            if !chunk.is_empty() {
+                let sent =
+                    self.write(parts, responder, &chunk, deadline).await;
+                match sent {
+                    Ok(true) => continue,
+                    Ok(false) => return RelayEnd::CallerGone,
+                    Err(fault) => return RelayEnd::Broken(fault),
+                }
+            }
+            if self.ended {
+                return match responder.end_stream().await {
+                    Ok(()) => RelayEnd::Complete,
+                    Err(_) => RelayEnd::CallerGone,
+                };
+            }
+            let gap_end = self.gap.map(|gap| Instant::now() + gap);
+            let until = gap_end.map_or(deadline, |end| end.min(deadline));
+            match self.receive(parts, until).await {
+                Ok(()) => {}
+                Err(UpstreamFault::TimedOut) if until < deadline => {
+                    return RelayEnd::Silent;
+                }
+                Err(fault) => return RelayEnd::Broken(fault),
+            }
+        }
+    }
+
+    /// Writes a chunk and reads ahead; `false` if the caller is gone.
+    async fn write(
+        &mut self,
+        parts: &mut dyn UpstreamParts,
+        responder: &mut HttpResponder,
+        chunk: &[u8],
+        deadline: Instant,
+    ) -> Result<bool, UpstreamFault> {
+        let limit = self.core.settings.limits.stream_bytes;
+        let mut write = pin!(responder.send_chunk(chunk));
+        let mut fault = None;
+        loop {
+            let reads =
+                fault.is_none() && !self.ended && self.scanner.len() < limit;
+            monoio::select! {
+                biased;
+                sent = &mut write => {
+                    if sent.is_err() {
+                        return Ok(false);
+                    }
+                    break;
+                }
+                received = self.receive(parts, deadline), if reads => {
+                    fault = received.err();
+                }
+            }
+        }
+        match fault {
+            // Events that had come before the fault still go out.
+            Some(fault) if !self.scanner.has_event() => Err(fault),
+            _ => Ok(true),
+        }
+    }
+
+    /// Joins the whole events that are there.
+    fn take_chunk(&mut self) -> BytesMut {
+        let mut chunk = BytesMut::new();
+        while let Some(event) = self.scanner.next_event() {
+            let repeats = event.id.is_some_and(|id| {
+                self.position.last_event.is_some_and(|last| id <= last)
+            });
+            // A resumed stream may begin with an event that is known.
+            if repeats {
+                continue;
+            }
+            self.position.last_event = event.id.or(self.position.last_event);
+            self.position.events += 1;
+            chunk.extend_from_slice(&event.bytes);
+        }
+        let output = self.position.events * self.event_tokens;
+        let output = output.min(self.output_ceiling);
+        self.hold.note_used(self.prompt_tokens + output);
+        chunk
+    }
+
+    async fn receive(
+        &mut self,
+        parts: &mut dyn UpstreamParts,
+        deadline: Instant,
+    ) -> Result<(), UpstreamFault> {
+        let part = parts.next_part(deadline).await?;
+        let Some(part) = part else {
+            if self.scanner.has_partial() && !self.scanner.has_event() {
+                let reason = "the stream ended inside an event".to_owned();
+                return Err(UpstreamFault::Broken { reason });
+            }
+            self.ended = true;
+            return Ok(());
+        };
+        self.scanner.push(&part);
+        if self.scanner.is_oversized() {
+            let reason = "an event is too large".to_owned();
+            return Err(UpstreamFault::Broken { reason });
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,12 +14,15 @@
 mod macros;
 
 pub mod adapters;
+pub mod allowance;
 pub mod budget;
+pub mod catalog;
 pub mod config;
 pub mod ctl;
 pub mod domain;
 pub mod entry;
 pub mod error;
+pub mod gateway;
 pub mod membership;
 pub mod moves;
 pub mod ports;
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -48,6 +48,12 @@
         self.vms().get(vm).and_then(|entry| entry.peer_address)
     }
 
+    /// The number of entry VMs, leaving ones included.
+    pub fn entry_count(&self) -> usize {
+        let vms = self.vms();
+        vms.values().filter(|e| e.role == VmRole::Entry).count()
+    }
+
     /// Live entry VMs in the order in which they serve `key`.
     ///
     /// The order is a rendezvous ranking: it is the same at every router
--- /dev/null
+++ b/src/ports/declared.rs
@@ -0,0 +1,65 @@
+//! What operators have declared, and which upstreams have registered.
+
+use std::net::SocketAddr;
+
+use super::{KeyedFault, PortFuture};
+use crate::catalog::RouteCatalog;
+
+/// The operators' declarations.
+pub trait CatalogPort {
+    /// Waits for a catalog that is newer than the last one returned.
+    ///
+    /// Returns `None` if none came within the wait of one call.
+    ///
+    /// # Errors
+    ///
+    /// The last known catalog stays in force.
+    fn next(&self)
+    -> PortFuture<'_, Result<Option<RouteCatalog>, KeyedFault>>;
+}
+
+/// An upstream as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamEntry {
+    /// Its identity, which differs between most starts.
+    pub id: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The service that it serves.
+    pub service: String,
+    /// The failure domain that it is in.
+    pub domain: String,
+    /// The version of its software.
+    pub version: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it finishes its work and takes nothing new.
+    pub is_leaving: bool,
+    /// When it started, in milliseconds since the epoch.
+    pub started_ms: u64,
+    /// Counts its entries since its start.
+    pub sequence: u64,
+}
+
+/// A change of the registered upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamNews {
+    /// An upstream has registered or renewed its entry.
+    Listed(UpstreamEntry),
+    /// The entry of an upstream is gone.
+    Removed(String),
+    /// The entry cannot be read, and names no upstream to use.
+    Unreadable(String),
+    /// Exactly the upstreams listed until now exist; all others are gone.
+    OnlyThese(Vec<String>),
+}
+
+/// The registrations of upstreams.
+pub trait UpstreamListPort {
+    /// Reads the changes since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was read; the next call begins at the same place.
+    fn poll(&self) -> PortFuture<'_, Result<Vec<UpstreamNews>, KeyedFault>>;
+}
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -4,6 +4,9 @@
 //! No decision of the crate names a protocol.
 //!
 //! * [`LogPort`]: the platform's append-only log.
+//! * [`KeyedPort`]: topics that keep the newest record of each key.
+//! * [`CatalogPort`], [`UpstreamListPort`]: declarations and registrations.
+//! * [`ForwardPort`]: upstreams that take requests as they came.
 //! * [`VmListPort`]: the platform's lagging list of VMs.
 //! * [`UpstreamPort`]: model engines and plain services.
 //! * [`PeerPort`]: the other routers.
@@ -11,6 +14,9 @@
 //! The traits return boxed futures so that they can be used as trait
 //! objects. A box for each call costs far less than the call behind it.
 
+mod declared;
+mod forward;
+mod keyed;
 mod log;
 mod peer;
 mod upstream;
@@ -19,6 +25,11 @@
 use std::{future::Future, pin::Pin};
 
 pub use self::{
+    declared::{CatalogPort, UpstreamEntry, UpstreamListPort, UpstreamNews},
+    forward::{
+        ForwardCall, ForwardLink, ForwardPort, ForwardReply, ForwardVerdict,
+    },
+    keyed::{KeyedFault, KeyedPort, KeyedRecord, KeyedSlice},
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
     peer::{
         ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
--- a/src/router/chat/dispatch.rs
+++ b/src/router/chat/dispatch.rs
@@ -13,13 +13,14 @@
 };
 use crate::{
     budget::{Reservation, Sent, Unsent},
+    config::CallClass,
     domain::BillId,
     error::{CallError, ErrorKind},
     ports::{
         ClaimReply, ClaimRequest, PeerAnswer, PeerCall, UpstreamCall,
         UpstreamFault, UpstreamReply,
     },
-    routing::{AdmitRequest, UpstreamSlot, UpstreamView},
+    routing::{AdmitRequest, PlacementHint, UpstreamSlot, UpstreamView},
 };
 
 /// Path of the endpoint at the engines.
@@ -188,11 +189,13 @@
             preset.as_ref().and_then(|p| p.queue_wait_ms.get(&class));
         let request = AdmitRequest {
             service: &chat.service,
-            version: &version,
-            class,
+            version: Some(&version),
+            rank: class.priority(),
+            is_draft: class == CallClass::Draft,
             account: chat.identity.budget.account(),
             excluded: &self.excluded,
             affinity: chat.identity.budget.as_str(),
+            hint: PlacementHint::default(),
             wait: Duration::from_millis(wait_ms.copied().unwrap_or(0)),
             draft_percent: preset.map_or(100, |p| p.draft_percent),
         };
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -238,6 +238,7 @@
             for share in upstream_shares(&plan, &self.settings.vm) {
                 views.push(UpstreamView {
                     address: vms[&share.upstream].address,
+                    domain: vms[&share.upstream].domain.clone(),
                     vm: share.upstream,
                     service: (*service).to_owned(),
                     version: (*version).to_owned(),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -28,6 +28,7 @@
 mod service_call;
 mod sse;
 
+pub(crate) use self::process::listen;
 pub use self::{
     claims::{ClaimTable, KeyClaim},
     core::{CallerIdentity, RouterCore, RouterPorts},
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -183,7 +183,9 @@
     /// Serves until the process is told to leave.
     pub async fn serve(mut self) -> RouterProcess<Leaving> {
         // A closed channel cannot be told from a signal to leave.
-        let _ = self.signals.recv().await;
+        while self.signals.recv().await == Some(ProcessSignal::Reload) {
+            log::info!("settings are read at the start only");
+        }
         log::info!("router leaves");
         self.core.leaving.set(true);
         self.core.members.set_leaving();
@@ -213,7 +215,7 @@
             if !accepting && self.core.in_progress.get() == 0 {
                 break;
             }
-            if self.signals.try_recv().is_ok() {
+            if self.signals.try_recv() == Ok(ProcessSignal::Leave) {
                 signals_seen += 1;
                 self.warn_of_loss();
             }
@@ -240,7 +242,7 @@
 }
 
 /// Opens a listener, waiting for a process that is about to end.
-fn listen<T>(
+pub(crate) fn listen<T>(
     address: SocketAddr,
     bind: impl Fn(SocketAddr) -> io::Result<T>,
 ) -> Result<T, StartFault> {
--- a/src/router/service_call.rs
+++ b/src/router/service_call.rs
@@ -17,10 +17,10 @@
 use crate::{
     adapters::http::{HttpRequest, HttpResponder},
     budget::{BillLine, CallClaim, CallOutcome, Reservation, Sent, Unsent},
-    config::{ServiceDocument, ServiceKind},
+    config::{CallClass, ServiceDocument, ServiceKind},
     error::{CallError, ErrorKind},
     ports::{UpstreamCall, UpstreamFault, UpstreamLink, UpstreamReply},
-    routing::{AdmitRequest, UpstreamSlot},
+    routing::{AdmitRequest, PlacementHint, UpstreamSlot},
     telemetry::LogContext,
 };
 
@@ -285,11 +285,13 @@
     for _ in 0..LARGEST_ATTEMPTS {
         let request = AdmitRequest {
             service: &call.service,
-            version: &version,
-            class,
+            version: Some(&version),
+            rank: class.priority(),
+            is_draft: class == CallClass::Draft,
             account: call.identity.budget.account(),
             excluded: &excluded,
             affinity: "",
+            hint: PlacementHint::default(),
             wait,
             draft_percent,
         };
--- a/src/router/sse.rs
+++ b/src/router/sse.rs
@@ -11,6 +11,8 @@
 pub struct SseEvent {
     /// The bytes of the event with its closing blank line.
     pub bytes: Bytes,
+    /// The number of the event within its stream, if it states one.
+    pub id: Option<u64>,
     /// The total tokens of the request, if the event states them.
     pub total_tokens: Option<u64>,
     /// Whether this is the closing `[DONE]` event.
@@ -67,6 +69,26 @@
         self.buffer.len() > EVENT_BYTES
     }
 
+    /// The number of bytes that wait.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Whether no byte waits.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Whether a whole event waits.
+    pub fn has_event(&self) -> bool {
+        memchr::memmem::find(&self.buffer, b"\n\n").is_some()
+    }
+
+    /// Whether a part of an event waits for its end.
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Takes the next whole event.
     pub fn next_event(&mut self) -> Option<SseEvent> {
         let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
@@ -78,6 +100,18 @@
         // cost more than relaying them.
         let states = memchr::memmem::find(data, b"\"usage\"").is_some();
         let total_tokens = states.then(|| stated_tokens(data)).flatten();
-        Some(SseEvent { bytes, total_tokens, done })
+        let id = stated_id(&bytes);
+        Some(SseEvent { bytes, id, total_tokens, done })
+    }
+}
+
+/// The number in the `id` field of an event.
+fn stated_id(event: &[u8]) -> Option<u64> {
+    for line in event.split(|byte| *byte == b'\n') {
+        let Some(value) = line.strip_prefix(b"id:") else {
+            continue;
+        };
+        return std::str::from_utf8(value).ok()?.trim().parse().ok();
     }
+    None
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,16 +6,24 @@
 //!   most, whatever each router does on its own.
 //! * [`UpstreamTable`] counts what is in progress against that part, ranks
 //!   the workers and queues requests that find none free.
+//! * [`placement_rank`] weighs load, shared prompts and distance.
+//! * [`UpstreamHealth`] ejects upstreams whose requests fail.
 //! * [`RetryBudget`] keeps retries a small share of the traffic.
 //!
 //! `docs/design/routing.md` gives the arithmetic at the target size.
 
+mod health;
+mod placement;
 mod queue;
 mod retry;
 mod subset;
 mod table;
 
 pub use self::{
+    health::{HealthChange, UpstreamHealth, UpstreamOutcome},
+    placement::{
+        PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
+    },
     queue::{AdmissionQueue, QueuedCall},
     retry::RetryBudget,
     subset::{SubsetPlan, UpstreamShare, upstream_shares},
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -2,24 +2,28 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use crate::config::CallClass;
+use super::PlacementHint;
 
-/// Most requests of one class that wait for one service.
+/// Most requests of one rank that wait for one service.
 const QUEUE_LENGTH: usize = 256;
 
 /// A request that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QueuedCall {
-    /// How urgent it is.
-    pub class: CallClass,
+    /// How urgent it is, 0 first.
+    pub rank: u8,
+    /// Whether it may only use the part of the slots open to drafts.
+    pub is_draft: bool,
     /// The client account that sent it.
     pub account: String,
-    /// The version that shall serve it.
-    pub version: String,
+    /// The version that shall serve it; `None` for any.
+    pub version: Option<String>,
     /// Upstreams that have failed for it.
     pub excluded: Vec<String>,
     /// Requests with the same text here like the same upstream.
     pub affinity: String,
+    /// What its placement depends on.
+    pub hint: PlacementHint,
     /// Part of the slots open to drafts, in percent.
     pub draft_percent: u32,
     /// When it gives up.
@@ -28,7 +32,7 @@
 
 /// The queue of one service.
 ///
-/// The most urgent class goes first. Within a class the account with the
+/// The most urgent rank goes first. Within a rank the account with the
 /// fewest requests in progress goes first, and the oldest of its requests,
 /// so that an account that floods the queue waits behind the others.
 #[derive(Debug, Default)]
@@ -55,21 +59,21 @@
 
     /// Requests that would be served before a new one.
     ///
-    /// Accounts of the same class take turns. Each other one gets ahead
+    /// Accounts of the same rank take turns. Each other one gets ahead
     /// with no more requests than bring it level with the new request's
     /// account, however many of them wait.
     pub fn ahead_of(
         &self,
-        class: CallClass,
+        rank: u8,
         account: &str,
         in_progress: impl Fn(&str) -> usize,
     ) -> usize {
         let mut ahead = 0;
         let mut waiting: BTreeMap<&str, usize> = BTreeMap::new();
         for call in self.waiting.values() {
-            if call.class < class {
+            if call.rank < rank {
                 ahead += 1;
-            } else if call.class == class {
+            } else if call.rank == rank {
                 *waiting.entry(&call.account).or_default() += 1;
             }
         }
@@ -81,9 +85,9 @@
         ahead + own
     }
 
-    /// Adds a request; `None` if the queue of its class is full.
+    /// Adds a request; `None` if the queue of its rank is full.
     pub fn push(&mut self, call: QueuedCall) -> Option<u64> {
-        let same = self.waiting.values().filter(|c| c.class == call.class);
+        let same = self.waiting.values().filter(|c| c.rank == call.rank);
         if same.count() >= QUEUE_LENGTH {
             return None;
         }
@@ -106,12 +110,12 @@
         in_progress: impl Fn(&str) -> usize,
         fits: impl Fn(&QueuedCall) -> bool,
     ) -> Option<u64> {
-        let mut best: Option<((CallClass, usize, u64), u64)> = None;
+        let mut best: Option<((u8, usize, u64), u64)> = None;
         for (ticket, call) in &self.waiting {
             if call.deadline <= now || !fits(call) {
                 continue;
             }
-            let rank = (call.class, in_progress(&call.account), *ticket);
+            let rank = (call.rank, in_progress(&call.account), *ticket);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, *ticket));
             }
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -25,24 +25,37 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    percent: u32,
+    full: u32,
     credit: u32,
 }
 
 impl RetryBudget {
     /// Creates a full budget.
     pub fn new() -> RetryBudget {
-        RetryBudget { credit: SAVED_RETRIES * RETRY_COST }
+        RetryBudget::with_limits(RETRY_PERCENT, SAVED_RETRIES)
+    }
+
+    /// Creates a full budget of `percent` retries for each hundred requests
+    /// and at most `saved` retries saved up.
+    pub fn with_limits(percent: u32, saved: u32) -> RetryBudget {
+        let full = saved * RETRY_COST;
+        RetryBudget { percent, full, credit: full }
     }
 
     /// Notes a first attempt.
     pub fn note_request(&mut self) {
-        let full = SAVED_RETRIES * RETRY_COST;
-        self.credit = (self.credit + RETRY_PERCENT).min(full);
+        self.credit = (self.credit + self.percent).min(self.full);
+    }
+
+    /// Whether a retry is left.
+    pub fn has_credit(&self) -> bool {
+        self.credit >= RETRY_COST
     }
 
     /// Takes one retry out of the budget, if there is one left.
     pub fn try_spend(&mut self) -> bool {
-        if self.credit < RETRY_COST {
+        if !self.has_credit() {
             return false;
         }
         self.credit -= RETRY_COST;
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,7 +1,7 @@
 //! What is in progress at each upstream, and who comes next.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -10,9 +10,12 @@
 
 use tokio::sync::oneshot;
 
-use super::{AdmissionQueue, QueuedCall};
+use super::{
+    AdmissionQueue, HealthChange, PlacementCandidate, PlacementHint,
+    PlacementRank, QueuedCall, UpstreamHealth, UpstreamOutcome,
+    placement_rank,
+};
 use crate::{
-    config::CallClass,
     error::{CallError, ErrorKind},
     membership::rendezvous_weight,
 };
@@ -26,6 +29,9 @@
 /// Weight of the newest request in the average duration.
 const DURATION_WEIGHT: f64 = 0.1;
 
+/// Shortest `Retry-After` that a full queue leads to, in seconds.
+const SHORTEST_RETRY_S: f64 = 0.1;
+
 /// Longest `Retry-After` that a full queue leads to, in seconds.
 const LONGEST_RETRY_S: f64 = 60.0;
 
@@ -36,6 +42,8 @@
     pub vm: String,
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// The failure domain of the VM.
+    pub domain: String,
     /// The service it serves.
     pub service: String,
     /// The version it runs.
@@ -51,16 +59,20 @@
 pub struct AdmitRequest<'a> {
     /// The service.
     pub service: &'a str,
-    /// The version that shall serve the request.
-    pub version: &'a str,
-    /// How urgent it is.
-    pub class: CallClass,
+    /// The version that shall serve the request; `None` for any.
+    pub version: Option<&'a str>,
+    /// How urgent it is, 0 first.
+    pub rank: u8,
+    /// Whether it may only use the part of the slots open to drafts.
+    pub is_draft: bool,
     /// The client account.
     pub account: &'a str,
     /// Upstreams that have failed for this request.
     pub excluded: &'a [String],
     /// Requests with the same text here like the same upstream.
     pub affinity: &'a str,
+    /// What the placement depends on.
+    pub hint: PlacementHint,
     /// Longest wait in the queue.
     pub wait: Duration,
     /// Part of the slots open to drafts, in percent.
@@ -74,6 +86,8 @@
     drafts: u32,
     penalty: Option<Instant>,
     load: Option<(u32, Instant)>,
+    pending_tokens: u64,
+    health: UpstreamHealth,
     removed: bool,
 }
 
@@ -81,7 +95,7 @@
     fn serves(&self, service: &str, call: &QueuedCall) -> bool {
         !self.removed
             && self.view.service == service
-            && self.view.version == call.version
+            && call.version.as_ref().is_none_or(|v| *v == self.view.version)
             && !call.excluded.contains(&self.view.vm)
     }
 
@@ -93,7 +107,7 @@
             return false;
         }
         let drafts = (self.view.share * call.draft_percent / 100).max(1);
-        if call.class == CallClass::Draft && self.drafts >= drafts {
+        if call.is_draft && self.drafts >= drafts {
             return false;
         }
         self.fresh_load().is_none_or(|load| load < self.view.limit)
@@ -104,15 +118,38 @@
         (at.elapsed() < LOAD_TIME).then_some(load)
     }
 
+    fn weight(&self, affinity: &str) -> u64 {
+        rendezvous_weight(affinity, &self.view.vm)
+    }
+
     /// Own requests decide; the reported load, which is old, breaks ties.
-    fn rank(&self, affinity: &str) -> (u32, u32, std::cmp::Reverse<u64>) {
-        let own = self.in_progress * 1_000 / self.view.share.max(1);
-        let load = self.fresh_load().unwrap_or(0);
-        let likes = rendezvous_weight(affinity, &self.view.vm);
-        (own, load, std::cmp::Reverse(likes))
+    fn rank(&self, call: &QueuedCall, fit: &ServiceFit) -> PlacementRank {
+        let domain = &call.hint.domain;
+        let slowness = self.health.slowness().unwrap_or(fit.slowness);
+        let candidate = PlacementCandidate {
+            in_progress: self.in_progress,
+            share: self.view.share,
+            pending_tokens: self.pending_tokens,
+            load: self.fresh_load().unwrap_or(0),
+            is_home: fit.home.as_ref() == Some(&self.view.vm),
+            is_distant: !domain.is_empty() && *domain != self.view.domain,
+            slowness: slowness / fit.slowness.max(f64::MIN_POSITIVE),
+            weight: self.weight(&call.affinity),
+        };
+        placement_rank(&candidate, &call.hint)
     }
 }
 
+/// What the upstreams of a service have in common for one request.
+struct ServiceFit {
+    /// The upstream that the shared parts of the prompt belong to.
+    home: Option<String>,
+    /// Whether enough upstreams are healthy to leave the others out.
+    spares_ejected: bool,
+    /// The middle slowness of the upstreams.
+    slowness: f64,
+}
+
 #[derive(Default)]
 struct TableState {
     upstreams: BTreeMap<String, UpstreamEntry>,
@@ -134,7 +171,8 @@
 pub struct UpstreamSlot {
     table: UpstreamTable,
     view: UpstreamView,
-    class: CallClass,
+    is_draft: bool,
+    pending_tokens: Cell<u64>,
     account: String,
     since: Instant,
 }
@@ -145,6 +183,26 @@
         &self.view
     }
 
+    /// Notes what the request came to, for the health of the upstream.
+    pub fn note_outcome(
+        &self,
+        outcome: UpstreamOutcome,
+    ) -> Option<HealthChange> {
+        self.note_read();
+        let mut state = self.table.state.borrow_mut();
+        let entry = state.upstreams.get_mut(&self.view.vm)?;
+        entry.health.note(outcome, Instant::now())
+    }
+
+    /// Notes that the upstream has read the prompt.
+    pub fn note_read(&self) {
+        let tokens = self.pending_tokens.take();
+        let mut state = self.table.state.borrow_mut();
+        if let Some(entry) = state.upstreams.get_mut(&self.view.vm) {
+            entry.pending_tokens -= tokens;
+        }
+    }
+
     /// Notes that the upstream refused a connection.
     pub fn note_refused(&self) {
         let mut state = self.table.state.borrow_mut();
@@ -164,6 +222,7 @@
 
 impl Drop for UpstreamSlot {
     fn drop(&mut self) {
+        self.note_read();
         self.table.state.borrow_mut().vacate(self);
         self.table.serve_queue(&self.view.service);
     }
@@ -247,7 +306,8 @@
         UpstreamSlot {
             table: self.clone(),
             view,
-            class: call.class,
+            is_draft: call.is_draft,
+            pending_tokens: Cell::new(call.hint.prompt_tokens),
             account: call.account.clone(),
             since: Instant::now(),
         }
@@ -270,11 +330,13 @@
 impl AdmitRequest<'_> {
     fn to_queued(&self) -> QueuedCall {
         QueuedCall {
-            class: self.class,
+            rank: self.rank,
+            is_draft: self.is_draft,
             account: self.account.to_owned(),
-            version: self.version.to_owned(),
+            version: self.version.map(str::to_owned),
             excluded: self.excluded.to_vec(),
             affinity: self.affinity.to_owned(),
+            hint: self.hint.clone(),
             draft_percent: self.draft_percent,
             deadline: Instant::now() + self.wait,
         }
@@ -316,6 +378,8 @@
                 drafts: 0,
                 penalty: None,
                 load: None,
+                pending_tokens: 0,
+                health: UpstreamHealth::new(),
                 removed: false,
             });
             entry.removed = false;
@@ -333,14 +397,50 @@
         entries.any(|entry| entry.serves(service, call))
     }
 
+    /// What the upstreams that serve a call have in common.
+    fn fit(&self, service: &str, call: &QueuedCall) -> ServiceFit {
+        let now = Instant::now();
+        let mut home: Option<(u64, &str)> = None;
+        let (mut serving, mut healthy) = (0, 0);
+        let mut slownesses = Vec::new();
+        for (vm, entry) in &self.upstreams {
+            if !entry.serves(service, call) {
+                continue;
+            }
+            serving += 1;
+            slownesses.extend(entry.health.slowness());
+            if entry.health.is_ejected(now) {
+                continue;
+            }
+            healthy += 1;
+            let weight = entry.weight(&call.affinity);
+            if home.is_none_or(|(most, _)| weight > most) {
+                home = Some((weight, vm));
+            }
+        }
+        slownesses.sort_by(f64::total_cmp);
+        let middle = slownesses.get(slownesses.len() / 2).copied();
+        ServiceFit {
+            home: home.map(|(_, vm)| vm.to_owned()),
+            spares_ejected: healthy * 2 >= serving,
+            slowness: middle.unwrap_or(1.0),
+        }
+    }
+
     /// The best upstream with a free slot for a call.
     fn best_free(&self, service: &str, call: &QueuedCall) -> Option<&str> {
+        let now = Instant::now();
+        let fit = self.fit(service, call);
         let mut best = None;
         for (vm, entry) in &self.upstreams {
             if !entry.serves(service, call) || !entry.is_free(call) {
                 continue;
             }
-            let rank = entry.rank(&call.affinity);
+            let admits = entry.health.admits(now, entry.in_progress);
+            if fit.spares_ejected && !admits {
+                continue;
+            }
+            let rank = (!admits, entry.rank(call, &fit));
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, vm.as_str()));
             }
@@ -357,7 +457,8 @@
         let vm = self.best_free(service, call)?.to_owned();
         let entry = self.upstreams.get_mut(&vm)?;
         entry.in_progress += 1;
-        if call.class == CallClass::Draft {
+        entry.pending_tokens += call.hint.prompt_tokens;
+        if call.is_draft {
             entry.drafts += 1;
         }
         let view = entry.view.clone();
@@ -381,7 +482,7 @@
             return;
         };
         entry.in_progress -= 1;
-        if slot.class == CallClass::Draft {
+        if slot.is_draft {
             entry.drafts -= 1;
         }
         if entry.removed && entry.in_progress == 0 {
@@ -408,18 +509,19 @@
     }
 
     fn overloaded(&self, request: &AdmitRequest<'_>) -> CallError {
-        let wait = self.expected_wait(request).min(LONGEST_RETRY_S);
+        let wait = self.expected_wait(request);
+        let wait = wait.clamp(SHORTEST_RETRY_S, LONGEST_RETRY_S);
         let message = format!("all upstreams of {} are busy", request.service);
         CallError::new(ErrorKind::Overloaded, message)
-            .with_retry_after(wait.ceil().max(1.0) as u32)
+            .with_retry_wait(Duration::from_secs_f64(wait))
     }
 
     /// Seconds until a new request would be served.
     fn expected_wait(&self, request: &AdmitRequest<'_>) -> f64 {
         let queue = self.queues.get(request.service);
-        let AdmitRequest { class, account, .. } = *request;
+        let AdmitRequest { rank, account, .. } = *request;
         let count = |name: &str| self.in_progress_of(name);
-        let ahead = queue.map_or(0, |q| q.ahead_of(class, account, count));
+        let ahead = queue.map_or(0, |q| q.ahead_of(rank, account, count));
         let duration = self.durations.get(request.service);
         let duration = duration.copied().unwrap_or(0.0);
         let mut slots = 0;
@@ -453,6 +555,7 @@
 
 fn no_upstream(request: &AdmitRequest<'_>) -> CallError {
     let AdmitRequest { service, version, .. } = request;
+    let version = version.unwrap_or("in any version");
     let message = format!("no live upstream runs {service} {version}");
     CallError::new(ErrorKind::NoUpstream, message)
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,6 +1,6 @@
 //! Starting the runtime of the data path.
 
-use std::{future::Future, io};
+use std::{future::Future, io, time::Duration};
 
 /// Runs a future to its end on the legacy driver.
 ///
@@ -23,3 +23,8 @@
         .build()?;
     Ok(runtime.block_on(future))
 }
+
+/// Completes after `delay`.
+pub async fn sleep(delay: Duration) {
+    monoio::time::sleep(delay).await;
+}
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -11,7 +11,10 @@
         entry::{EntryHealth, rank_entries},
         membership::VmDirectory,
         ports::{VmEntry, VmList, VmRole, VmState},
-        routing::{AdmissionQueue, QueuedCall, SubsetPlan, upstream_shares},
+        routing::{
+            AdmissionQueue, PlacementHint, QueuedCall, SubsetPlan,
+            upstream_shares,
+        },
     },
     proptest::prelude::*,
 };
@@ -164,11 +167,13 @@
 
 fn call(class: CallClass, account: u8, now: Instant) -> QueuedCall {
     QueuedCall {
-        class,
+        rank: class.priority(),
+        is_draft: class == CallClass::Draft,
         account: account.to_string(),
-        version: "v1".to_owned(),
+        version: Some("v1".to_owned()),
         excluded: Vec::new(),
         affinity: String::new(),
+        hint: PlacementHint::default(),
         draft_percent: 100,
         deadline: now + Duration::from_secs(1),
     }
@@ -222,12 +227,12 @@
         queue.push(call(CallClass::Check, 1, now)).unwrap();
     }
     let busy = |account: &str| if account == "1" { 16 } else { 0 };
-    assert_eq!(queue.ahead_of(CallClass::Check, "2", busy), 0);
-    assert_eq!(queue.ahead_of(CallClass::Check, "1", busy), 100);
+    assert_eq!(queue.ahead_of(CallClass::Check.priority(), "2", busy), 0);
+    assert_eq!(queue.ahead_of(CallClass::Check.priority(), "1", busy), 100);
     // With as many requests in progress as the flood they take turns.
     let level = |_: &str| 2;
-    assert_eq!(queue.ahead_of(CallClass::Check, "2", level), 1);
-    assert_eq!(queue.ahead_of(CallClass::Draft, "2", busy), 100);
+    assert_eq!(queue.ahead_of(CallClass::Check.priority(), "2", level), 1);
+    assert_eq!(queue.ahead_of(CallClass::Draft.priority(), "2", busy), 100);
 }
 
 /// The short question has the answer that the whole ranking gives.
