Keep tokens ahead of need by the square of what is left and by demand

Cause: during cuts of all routers most refusals were for want of tokens. The float was a fixed share for each router, whether callers used it or not, and refilled at half. Ruled out: the number of routers named to callers (3, 5 and 9 differ by less than the noise). Shared prompts now spread over upstreams by their share of the traffic.

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -8,12 +8,25 @@
 use super::{AllowanceRecord, allowance_key, record::split_key};
 use crate::{budget::GrantSizer, ports::KeyedRecord};
 
-/// The tokens kept ahead of need are at most this part of an even share of
-/// what is free, so that the last tokens of an account are not stranded.
-const FREE_SHARE_DIVISOR: u64 = 2;
+/// Part of an account's prepaid total that all routers together keep ahead
+/// of need while nothing of it has been taken, in percent.
+///
+/// It shrinks with the square of what is left. Tokens ahead of need serve
+/// requests while a router is cut off, and are lost with a router that dies.
+/// An account with much left bears such a loss; one near its end does not.
+const FLOAT_PERCENT: u64 = 50;
+
+/// What is left after this part of the prepaid total has been spent may
+/// have been lost with routers that died, in percent. A request beyond it
+/// is not worth waiting for.
+const USABLE_PERCENT: u64 = 97;
+
+/// Tokens are taken as soon as less than this part of the float is at hand,
+/// in percent.
+const REFILL_PERCENT: u64 = 90;
 
 /// Tokens at hand beyond this multiple of the float are given back.
-const EXCESS_FACTOR: u64 = 3;
+const EXCESS_FACTOR: u64 = 2;
 
 /// One record of another VM or the own one.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +53,8 @@
     unmet: Vec<u64>,
     lowered: Option<LoweredLimit>,
     sizer: GrantSizer,
+    fleet_spent: u64,
+    fleet_sizer: GrantSizer,
 }
 
 impl OwnUse {
@@ -53,9 +68,30 @@
             unmet: Vec::new(),
             lowered: None,
             sizer: GrantSizer::new(horizon, now),
+            fleet_spent: 0,
+            fleet_sizer: GrantSizer::new(horizon, now),
         }
     }
 
+    /// Notes what all routers together have spent.
+    fn note_fleet(&mut self, spent: u64, now: Instant) {
+        let known = std::mem::replace(&mut self.fleet_spent, spent);
+        if known > 0 {
+            self.fleet_sizer.note(spent.saturating_sub(known), now);
+        }
+    }
+
+    /// This router's part of the demand.
+    fn demand_part(&mut self, routers: u64, now: Instant) -> f64 {
+        let own = self.sizer.target(now) as f64;
+        let fleet = self.fleet_sizer.target(now) as f64;
+        let least = 1.0 / routers.max(1) as f64;
+        if fleet <= 0.0 {
+            return least;
+        }
+        (own / fleet).clamp(least, 1.0)
+    }
+
     /// Tokens that cannot be used for further requests.
     fn in_use(&self) -> u64 {
         self.spent + self.reserved + self.lent
@@ -237,14 +273,17 @@
         }
     }
 
-    /// Whether an account certainly cannot cover `tokens`.
+    /// Whether an account cannot cover `tokens` from what is usable.
+    ///
+    /// What has been spent counts as far as it is known for sure.
     pub fn is_exhausted(
         &self,
         account: &str,
         prepaid: u64,
         tokens: u64,
     ) -> bool {
-        prepaid.saturating_sub(self.spent(account)) < tokens
+        let usable = prepaid / 100 * USABLE_PERCENT;
+        usable.saturating_sub(self.spent(account)) < tokens
     }
 
     /// Sets tokens aside for a request; `false` if too few are at hand.
@@ -386,10 +425,12 @@
         let limit = self.limit(account);
         let view = self.view(account, prepaid);
         let others_want = self.wanted_by_others(account) > view.free;
-        let share = (view.free + view.available)
-            / (FREE_SHARE_DIVISOR * routers.max(1));
+        let spent = self.spent(account);
         let own = self.own.get_mut(account)?;
-        let mut float = own.sizer.target(now).min(share);
+        own.note_fleet(spent, now);
+        let part = own.demand_part(routers, now);
+        let share = fleet_float(prepaid, view.free) * part;
+        let mut float = own.sizer.target(now).min(share as u64);
         if others_want {
             float = 0;
         }
@@ -401,7 +442,7 @@
             let more = (covered + float).saturating_sub(available);
             next = limit + more.min(view.free);
             wanted = unmet - covered;
-        } else if available - unmet < float / 2 {
+        } else if available - unmet < float * REFILL_PERCENT / 100 {
             let more = unmet + float - available;
             next = limit + more.min(view.free);
         } else if others_want || available - unmet > float * EXCESS_FACTOR {
@@ -453,3 +494,9 @@
         self.apply(&records, offset, now);
     }
 }
+
+/// The most tokens that all routers together keep ahead of need.
+fn fleet_float(prepaid: u64, free: u64) -> f64 {
+    let left = free as f64 / prepaid.max(1) as f64;
+    prepaid as f64 * left * left * FLOAT_PERCENT as f64 / 100.0
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -96,6 +96,8 @@
     pub retries: RetrySettings,
     /// Lifetime of an entry answer.
     pub entry_lifetime: Duration,
+    /// Entry VMs that one entry answer names.
+    pub entry_width: usize,
     /// Longest time between the order to leave and the end of the process.
     pub leave_time: Duration,
     /// Peer addresses of routers to ask at the start, in case the platform
@@ -168,6 +170,7 @@
             let wanted = "at least 8 times budgets.settle_interval";
             reader.fault("log.retention", format!("must be {wanted}"));
         }
+        let entry_width = reader.number("entry_width", 5, 1..=64) as usize;
         let retries = parse_retries(&mut reader);
         let leave_time =
             reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
@@ -186,6 +189,7 @@
             limits,
             retries,
             entry_lifetime,
+            entry_width,
             leave_time,
             seeds,
         })
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,11 +6,16 @@
 //! budget that many routers hold is many small remainders; it spreads the
 //! account over failure domains, and it prefers the caller's region.
 
+use std::collections::BTreeMap;
+
 use crate::{
     membership::rendezvous_weight,
     ports::{VmEntry, VmRole, VmState},
 };
 
+/// The key of the ranking that all callers share.
+const PICK_KEY: &str = "entry";
+
 /// Addresses in one answer.
 const ANSWER_LENGTH: usize = 5;
 
@@ -95,3 +100,53 @@
         ranked[1..=other].rotate_right(1);
     }
 }
+
+/// Picks the entry VMs that all callers share.
+///
+/// Few routers at work keep the prepaid tokens of an account in few places.
+/// The picks take turns between failure domains, those of `region` first,
+/// and are the same at every router with the same list. A router that finds
+/// most others unusable has most likely lost its own links, and goes by the
+/// list alone.
+pub fn pick_entries<'a>(
+    vms: impl Iterator<Item = (&'a String, &'a VmEntry)>,
+    region: &str,
+    width: usize,
+    health: impl Fn(&str) -> EntryHealth,
+) -> Vec<EntryAddress> {
+    let mut live = Vec::new();
+    let mut unusable = 0;
+    for (name, entry) in vms {
+        if entry.role != VmRole::Entry || entry.state != VmState::Live {
+            continue;
+        }
+        let known = health(name);
+        unusable += usize::from(known.unusable);
+        live.push((name, entry, known));
+    }
+    let is_cut_off = unusable * 2 > live.len();
+    if !is_cut_off {
+        live.retain(|(_, _, known)| !known.unusable);
+    }
+    live.sort_by_key(|(name, entry, known)| {
+        let weight = std::cmp::Reverse(rendezvous_weight(PICK_KEY, name));
+        (entry.region != region, known.full, weight)
+    });
+    // The place of each VM within its own failure domain decides first.
+    let mut places: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut ranked = Vec::with_capacity(live.len());
+    for (order, (name, entry, known)) in live.into_iter().enumerate() {
+        let place = places.entry(&entry.domain).or_default();
+        ranked.push(((known.full, *place, order), name, entry));
+        *place += 1;
+    }
+    ranked.sort_by_key(|(rank, _, _)| *rank);
+    ranked.truncate(width);
+    let addresses = ranked.into_iter().map(|(_, name, entry)| EntryAddress {
+        vm: name.clone(),
+        address: entry.address,
+        region: entry.region.clone(),
+        domain: entry.domain.clone(),
+    });
+    addresses.collect()
+}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -245,6 +245,8 @@
         let hint = PlacementHint {
             prompt_tokens: request.ceiling.prompt,
             shared_tokens: request.shared_tokens(),
+            first_part: request.first_part().unwrap_or("").to_owned(),
+            objective: request.route.objective,
             domain: self.core.settings.domain.clone(),
         };
         let admit = AdmitRequest {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -9,8 +9,7 @@
     adapters::http::{
         HttpConnection, HttpRequest, MessageLimits, text_response,
     },
-    entry::EntryHealth,
-    ports::{VmRole, VmState},
+    entry::{EntryHealth, pick_entries},
 };
 
 /// Longest time for which an idle connection is kept.
@@ -92,34 +91,16 @@
 
 impl GatewayCore {
     /// The addresses that a caller may connect to, in no order.
-    ///
-    /// Callers choose among them at random. Routers that are believed dead
-    /// or that leave are left out, unless no other is known.
     pub fn entry_addresses(&self, query: &EntryQuery) -> Vec<SocketAddr> {
         let vms = self.directory.vms();
-        let mut usable = Vec::new();
-        let mut all = Vec::new();
-        for (vm, entry) in vms.iter() {
-            let is_entry =
-                entry.role == VmRole::Entry && entry.state == VmState::Live;
-            if !is_entry {
-                continue;
-            }
-            all.push(entry.address);
-            if !self.entry_health(vm).unusable {
-                usable.push((entry.region != query.region, entry.address));
-            }
-        }
-        usable.sort();
+        let width = self.settings.entry_width.min(LARGEST_ANSWER);
+        let health = |vm: &str| self.entry_health(vm);
+        let picks = pick_entries(vms.iter(), &query.region, width, health);
         let mut addresses: Vec<SocketAddr> =
-            usable.into_iter().map(|(_, address)| address).collect();
-        if addresses.is_empty() {
-            addresses = all;
-        }
+            picks.into_iter().map(|pick| pick.address).collect();
         if addresses.is_empty() {
             addresses.push(self.settings.listen.callers);
         }
-        addresses.truncate(LARGEST_ANSWER);
         addresses
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -100,6 +100,12 @@
         shared.iter().map(|part| part.tokens).sum()
     }
 
+    /// Identity of the part that the prompt begins with, if it is shared.
+    pub fn first_part(&self) -> Option<&str> {
+        let (_, shared) = self.parts.split_last()?;
+        shared.first().map(|part| part.id.as_str())
+    }
+
     /// Identity of the longest run of parts that other requests share.
     pub fn shared_part(&self) -> Option<&str> {
         let shared = self.parts.len().checked_sub(2)?;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,12 +6,14 @@
 //!   most, whatever each router does on its own.
 //! * [`UpstreamTable`] counts what is in progress against that part, ranks
 //!   the workers and queues requests that find none free.
+//! * [`AffinityBook`] tells over how many workers a shared prompt spreads.
 //! * [`placement_rank`] weighs load, shared prompts and distance.
 //! * [`UpstreamHealth`] ejects upstreams whose requests fail.
 //! * [`RetryBudget`] keeps retries a small share of the traffic.
 //!
 //! `docs/design/routing.md` gives the arithmetic at the target size.
 
+mod affinity;
 mod health;
 mod placement;
 mod queue;
@@ -20,6 +22,7 @@
 mod table;
 
 pub use self::{
+    affinity::AffinityBook,
     health::{HealthChange, UpstreamHealth, UpstreamOutcome},
     placement::{
         PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -1,27 +1,29 @@
 //! The cost of giving a request to an upstream.
 //!
-//! The cost weighs what is in progress at the upstream against what the
-//! request would have to repeat there: an engine keeps the parts of prompts
-//! that it has read, and another one has to read them again. All routers
-//! rank upstreams alike for the same shared part, so that they agree on
-//! where it is kept without any message.
+//! Costs are counted in prompt tokens. An engine keeps the parts of prompts
+//! that it has read; another one has to read them again, which costs their
+//! tokens. Work that waits or runs at an upstream costs little as long as
+//! there is room for it, and soon more than any prompt when there is not.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, time::Duration};
 
 /// Cost of having the whole share of an upstream in use.
-const FULL_SHARE_COST: u64 = 1_000;
+const FULL_SHARE_COST: f64 = 8_000.0;
 
-/// Prompt tokens that cost as much as one unit.
-const TOKENS_PER_UNIT: u64 = 10;
+/// Tokens that an engine reads in a millisecond, for a first estimate.
+const TOKENS_PER_MS: f64 = 50.0;
+
+/// Part of the objective for which prompts may wait to be read.
+const PENDING_PART: f64 = 0.25;
 
 /// Cost of an upstream in another failure domain.
-const DISTANCE_COST: u64 = 120;
+const DISTANCE_COST: f64 = 20.0;
 
 /// Slowness relative to the other upstreams from which on it counts.
 const SLOW_FROM: f64 = 1.5;
 
 /// Cost of being twice as slow as the others.
-const SLOW_COST: f64 = 400.0;
+const SLOW_COST: f64 = 3_000.0;
 
 /// What placement needs to know of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -30,6 +32,10 @@
     pub prompt_tokens: u64,
     /// Tokens of the prompt that other requests share.
     pub shared_tokens: u64,
+    /// The part that the prompt begins with; empty if nothing is shared.
+    pub first_part: String,
+    /// Time to the first event that the caller hopes for.
+    pub objective: Duration,
     /// The failure domain that the request comes from; empty if the
     /// distance does not matter.
     pub domain: String,
@@ -85,18 +91,20 @@
     candidate: &PlacementCandidate,
     hint: &PlacementHint,
 ) -> PlacementRank {
-    let in_progress = u64::from(candidate.in_progress);
-    let share = u64::from(candidate.share.max(1));
-    let mut cost = in_progress * FULL_SHARE_COST / share;
-    cost += candidate.pending_tokens / TOKENS_PER_UNIT;
+    let share = f64::from(candidate.share.max(1));
+    let usage = f64::from(candidate.in_progress) / share;
+    let mut cost = FULL_SHARE_COST * usage.powi(3);
+    let objective_ms = hint.objective.as_secs_f64() * 1_000.0;
+    let bearable = objective_ms * PENDING_PART * TOKENS_PER_MS;
+    cost += (candidate.pending_tokens as f64 - bearable).max(0.0);
     if !candidate.is_home {
-        cost += hint.shared_tokens / TOKENS_PER_UNIT;
+        cost += hint.shared_tokens as f64;
     }
     if candidate.is_distant {
         cost += DISTANCE_COST;
     }
     if candidate.slowness > SLOW_FROM {
-        cost += ((candidate.slowness - 1.0) * SLOW_COST) as u64;
+        cost += (candidate.slowness - 1.0) * SLOW_COST;
     }
-    (cost, candidate.load, Reverse(candidate.weight))
+    (cost as u64, candidate.load, Reverse(candidate.weight))
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -11,8 +11,8 @@
 use tokio::sync::oneshot;
 
 use super::{
-    AdmissionQueue, HealthChange, PlacementCandidate, PlacementHint,
-    PlacementRank, QueuedCall, UpstreamHealth, UpstreamOutcome,
+    AdmissionQueue, AffinityBook, HealthChange, PlacementCandidate,
+    PlacementHint, PlacementRank, QueuedCall, UpstreamHealth, UpstreamOutcome,
     placement_rank,
 };
 use crate::{
@@ -157,6 +157,7 @@
     wakers: BTreeMap<(String, u64), oneshot::Sender<UpstreamSlot>>,
     accounts: BTreeMap<String, usize>,
     durations: BTreeMap<String, f64>,
+    affinities: AffinityBook,
 }
 
 /// The upstreams of this router with their queues.
@@ -281,6 +282,7 @@
         let (ticket, waiter) = {
             let mut state = self.state.borrow_mut();
             let call = request.to_queued();
+            state.note_affinity(&call);
             if !state.has_version(request.service, &call) {
                 return Err(no_upstream(request));
             }
@@ -388,6 +390,14 @@
         self.upstreams.retain(|_, e| !e.removed || e.in_progress > 0);
     }
 
+    fn note_affinity(&mut self, call: &QueuedCall) {
+        let PlacementHint { first_part, prompt_tokens, .. } = &call.hint;
+        if !first_part.is_empty() {
+            let now = Instant::now();
+            self.affinities.note(first_part, *prompt_tokens, now);
+        }
+    }
+
     fn in_progress_of(&self, account: &str) -> usize {
         self.accounts.get(account).copied().unwrap_or(0)
     }
@@ -400,8 +410,8 @@
     /// What the upstreams that serve a call have in common.
     fn fit(&self, service: &str, call: &QueuedCall) -> ServiceFit {
         let now = Instant::now();
-        let mut home: Option<(u64, &str)> = None;
-        let (mut serving, mut healthy) = (0, 0);
+        let mut healthy = Vec::new();
+        let mut serving = 0;
         let mut slownesses = Vec::new();
         for (vm, entry) in &self.upstreams {
             if !entry.serves(service, call) {
@@ -409,24 +419,42 @@
             }
             serving += 1;
             slownesses.extend(entry.health.slowness());
-            if entry.health.is_ejected(now) {
-                continue;
-            }
-            healthy += 1;
-            let weight = entry.weight(&call.affinity);
-            if home.is_none_or(|(most, _)| weight > most) {
-                home = Some((weight, vm));
+            if !entry.health.is_ejected(now) {
+                healthy.push(vm);
             }
         }
         slownesses.sort_by(f64::total_cmp);
         let middle = slownesses.get(slownesses.len() / 2).copied();
         ServiceFit {
-            home: home.map(|(_, vm)| vm.to_owned()),
-            spares_ejected: healthy * 2 >= serving,
+            spares_ejected: healthy.len() * 2 >= serving,
+            home: self.home(call, healthy, now),
             slowness: middle.unwrap_or(1.0),
         }
     }
 
+    /// The upstream that the shared parts of a call's prompt belong to.
+    ///
+    /// The first part chooses some upstreams, the longest shared run of
+    /// parts one of them.
+    fn home(
+        &self,
+        call: &QueuedCall,
+        mut healthy: Vec<&String>,
+        now: Instant,
+    ) -> Option<String> {
+        let first = &call.hint.first_part;
+        if first.is_empty() {
+            return None;
+        }
+        let spread = self.affinities.spread(first, healthy.len(), now);
+        healthy.sort_by_cached_key(|vm| {
+            std::cmp::Reverse(rendezvous_weight(first, vm))
+        });
+        healthy.truncate(spread);
+        let weight = |vm: &&String| rendezvous_weight(&call.affinity, vm);
+        healthy.into_iter().max_by_key(weight).cloned()
+    }
+
     /// The best upstream with a free slot for a call.
     fn best_free(&self, service: &str, call: &QueuedCall) -> Option<&str> {
         let now = Instant::now();
