--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -16,17 +16,12 @@
 /// An account with much left bears such a loss; one near its end does not.
 const FLOAT_PERCENT: u64 = 50;
 
-/// What is left after this part of the prepaid total has been spent may
-/// have been lost with routers that died, in percent. A request beyond it
-/// is not worth waiting for.
-const USABLE_PERCENT: u64 = 97;
-
 /// Tokens are taken as soon as less than this part of the float is at hand,
 /// in percent.
 const REFILL_PERCENT: u64 = 90;
 
 /// Tokens at hand beyond this multiple of the float are given back.
-const EXCESS_FACTOR: u64 = 2;
+const EXCESS_FACTOR: f64 = 1.25;
 
 /// One record of another VM or the own one.
 #[derive(Clone, Copy, Debug)]
@@ -117,9 +112,9 @@
         sum
     }
 
-    /// Tokens spent out of the VM's own record.
-    fn own_spent(&self) -> u64 {
-        (self.spent + self.lent).saturating_sub(self.borrowed)
+    /// Tokens lent, less those borrowed.
+    fn net_lent(&self) -> i64 {
+        self.lent as i64 - self.borrowed as i64
     }
 }
 
@@ -128,8 +123,10 @@
 pub struct AllowanceView {
     /// Tokens that no VM has taken.
     pub free: u64,
-    /// Tokens taken by VMs and not known to be spent.
+    /// Tokens taken by VMs that may still be spent.
     pub held: u64,
+    /// Tokens that were lost with VMs.
+    pub lost: u64,
     /// Tokens that this VM can give to requests.
     pub available: u64,
 }
@@ -251,6 +248,12 @@
         records.map(|seen| seen.record.taken).sum()
     }
 
+    fn lost(&self, account: &str) -> u64 {
+        let seen = self.seen.get(account);
+        let records = seen.into_iter().flat_map(BTreeMap::values);
+        records.map(|seen| seen.record.lost).sum()
+    }
+
     /// Tokens that are spent for sure.
     fn spent(&self, account: &str) -> u64 {
         let mut sum = 0;
@@ -260,20 +263,23 @@
             }
         }
         let own = self.own.get(account);
-        sum + own.map_or(0, |own| own.base.spent + own.own_spent())
+        sum + own.map_or(0, |own| own.base.spent + own.spent)
     }
 
     /// What is known of an account.
     pub fn view(&self, account: &str, prepaid: u64) -> AllowanceView {
         let taken = self.taken(account);
+        let lost = self.lost(account);
+        let gone = self.spent(account) + lost;
         AllowanceView {
             free: prepaid.saturating_sub(taken),
-            held: taken.saturating_sub(self.spent(account)),
+            held: taken.saturating_sub(gone),
+            lost,
             available: self.available(account),
         }
     }
 
-    /// Whether an account cannot cover `tokens` from what is usable.
+    /// Whether an account certainly cannot cover `tokens`.
     ///
     /// What has been spent counts as far as it is known for sure.
     pub fn is_exhausted(
@@ -282,8 +288,19 @@
         prepaid: u64,
         tokens: u64,
     ) -> bool {
-        let usable = prepaid / 100 * USABLE_PERCENT;
-        usable.saturating_sub(self.spent(account)) < tokens
+        prepaid.saturating_sub(self.spent(account)) < tokens
+    }
+
+    /// Whether no VM can give `tokens` any more, although the account may
+    /// not have spent them: they were lost with VMs.
+    pub fn is_stranded(
+        &self,
+        account: &str,
+        prepaid: u64,
+        tokens: u64,
+    ) -> bool {
+        let gone = self.spent(account) + self.lost(account);
+        prepaid.saturating_sub(gone) < tokens
     }
 
     /// Sets tokens aside for a request; `false` if too few are at hand.
@@ -353,7 +370,7 @@
     pub fn lenders(&self, account: &str) -> Vec<String> {
         let mut ranked = Vec::new();
         for (vm, seen) in self.seen.get(account).into_iter().flatten() {
-            let left = seen.record.taken.saturating_sub(seen.record.spent);
+            let left = seen.record.unspent();
             if *vm != self.vm && left > 0 {
                 ranked.push((left, vm));
             }
@@ -445,7 +462,9 @@
         } else if available - unmet < float * REFILL_PERCENT / 100 {
             let more = unmet + float - available;
             next = limit + more.min(view.free);
-        } else if others_want || available - unmet > float * EXCESS_FACTOR {
+        } else if others_want
+            || (available - unmet) as f64 > float as f64 * EXCESS_FACTOR
+        {
             next = limit.saturating_sub(available - unmet - float);
         }
         self.make_record(account, next, wanted)
@@ -466,7 +485,9 @@
         let record = AllowanceRecord {
             incarnation: self.incarnation,
             taken: own.base.taken + limit,
-            spent: own.base.spent + own.own_spent(),
+            spent: own.base.spent + own.spent,
+            lent: own.base.lent + own.net_lent(),
+            lost: own.base.unspent() + own.base.lost,
             wanted,
         };
         if limit < current {
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -42,6 +42,10 @@
 /// Peers that a waiting request asks for tokens.
 const LENDERS: usize = 3;
 
+/// `Retry-After` for tokens that were lost with routers; only a top-up or
+/// the return of such a router brings them back.
+const STRANDED_RETRY: Duration = Duration::from_secs(5);
+
 /// Time between two rounds in which a waiting request asks peers.
 const BORROW_PERIOD: Duration = Duration::from_millis(250);
 
@@ -168,9 +172,7 @@
         if let Some(hold) = self.try_reserve(account, tokens) {
             return Ok(hold);
         }
-        if self.is_exhausted(account, prepaid, tokens) {
-            return Err(self.exhausted(account, tokens));
-        }
+        self.check_covers(account, prepaid, tokens)?;
         let now = Instant::now();
         self.book.borrow_mut().add_unmet(account, tokens, now);
         let unmet = UnmetNeed { keeper: self, account, tokens };
@@ -186,9 +188,7 @@
                 return Ok(hold);
             }
             let known = self.reads.get() >= fresh;
-            if self.is_exhausted(account, prepaid, tokens) {
-                return Err(self.exhausted(account, tokens));
-            }
+            self.check_covers(account, prepaid, tokens)?;
             if Instant::now() >= deadline {
                 return Err(self.unavailable(account, tokens));
             }
@@ -218,8 +218,22 @@
         reserved.then(|| TokenHold::new(self.clone(), account, tokens))
     }
 
-    fn is_exhausted(&self, account: &str, prepaid: u64, tokens: u64) -> bool {
-        self.book.borrow().is_exhausted(account, prepaid, tokens)
+    /// Refuses a request at once that no wait can help.
+    fn check_covers(
+        &self,
+        account: &str,
+        prepaid: u64,
+        tokens: u64,
+    ) -> Result<(), CallError> {
+        let book = self.book.borrow();
+        if book.is_exhausted(account, prepaid, tokens) {
+            return Err(self.exhausted(account, tokens));
+        }
+        if book.is_stranded(account, prepaid, tokens) {
+            let error = self.unavailable(account, tokens);
+            return Err(error.with_retry_wait(STRANDED_RETRY));
+        }
+        Ok(())
     }
 
     pub(super) fn settle(&self, account: &str, tokens: u64, used: u64) {
@@ -237,12 +251,12 @@
     }
 
     fn unavailable(&self, account: &str, tokens: u64) -> CallError {
-        let AllowanceView { free, held, available } = self.view(account);
+        let AllowanceView { free, held, lost, available } = self.view(account);
         let reachable = self.healthy.get();
         let message = format!(
             "{tokens} tokens of {account} did not arrive in time: {free} \
-             free, {held} held, {available} here, store reachable: \
-             {reachable}"
+             free, {held} held, {lost} lost, {available} here, store \
+             reachable: {reachable}"
         );
         CallError::new(ErrorKind::BudgetUnavailable, message)
     }
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -13,9 +13,16 @@
         /// Tokens taken out of the prepaid total.
         #[serde(rename = "t")]
         pub taken: u64,
-        /// Tokens of these that are known to be spent.
+        /// Tokens that requests have used.
         #[serde(rename = "s")]
         pub spent: u64,
+        /// Tokens lent to other VMs, less those borrowed from them.
+        #[serde(rename = "n", default)]
+        pub lent: i64,
+        /// Tokens that earlier incarnations left behind. Nobody knows
+        /// whether they were spent, so nobody spends them.
+        #[serde(rename = "l", default)]
+        pub lost: u64,
         /// Tokens that a request waits for and that nobody has left.
         #[serde(rename = "w", default)]
         pub wanted: u64,
@@ -23,6 +30,13 @@
 }
 
 impl AllowanceRecord {
+    /// Tokens that the VM can still give to requests or to other VMs, as
+    /// far as the record tells.
+    pub fn unspent(&self) -> u64 {
+        let rights = self.taken.saturating_add_signed(-self.lent);
+        rights.saturating_sub(self.spent + self.lost)
+    }
+
     /// The record as it stands in the topic.
     pub fn encode(&self) -> String {
         // The record consists of whole numbers.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
+    time::{Duration, Instant},
 };
 
 use super::{CallRequest, GatewayFront, LatencyBook};
@@ -38,6 +39,9 @@
 /// Least requests that a router may have in progress at one upstream.
 const LEAST_SHARE: u32 = 2;
 
+/// Time for which a router that lacks tokens is not named to callers.
+const STARVED_TIME: Duration = Duration::from_secs(2);
+
 /// Routers that are presumed before the list of entry VMs is known.
 const UNKNOWN_ROUTERS: u32 = 16;
 
@@ -84,6 +88,8 @@
     pub leaving: Cell<bool>,
     /// Requests of callers in progress.
     pub in_progress: Cell<usize>,
+    /// Until when callers are better served by other routers.
+    pub(super) starved_until: Cell<Option<Instant>>,
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
     pub(super) roster: RefCell<UpstreamRoster>,
     pub(super) latencies: RefCell<LatencyBook>,
@@ -111,6 +117,22 @@
             && !self.leaving.get()
     }
 
+    /// Notes that a request was refused for want of tokens.
+    ///
+    /// A router that cannot reach the store gets none for now. Others may
+    /// have some left, so this one is not named to callers for a while.
+    pub(super) fn note_starved(&self) {
+        if !self.keeper.is_healthy() {
+            self.starved_until.set(Some(Instant::now() + STARVED_TIME));
+        }
+    }
+
+    /// Whether callers are better served by other routers.
+    pub(super) fn is_starved(&self) -> bool {
+        let until = self.starved_until.get();
+        until.is_some_and(|until| until > Instant::now())
+    }
+
     /// Takes a catalog into use if it is newer than the one in force.
     pub(super) fn take_catalog(&self, catalog: RouteCatalog) {
         let version = catalog.version();
@@ -192,10 +214,7 @@
     }
 
     /// How long an upstream may take to begin its answer to a request.
-    pub(super) fn patience(
-        &self,
-        request: &CallRequest,
-    ) -> std::time::Duration {
+    pub(super) fn patience(&self, request: &CallRequest) -> Duration {
         let latencies = self.latencies.borrow();
         let expected = super::expected_time(request);
         let objective = request.route.objective;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -127,6 +127,9 @@
         CallEnd::CallerGone => ("caller_gone".to_owned(), false),
         CallEnd::Failed(error) => {
             let code = error.kind.code().to_owned();
+            if error.kind == ErrorKind::BudgetUnavailable {
+                core.note_starved();
+            }
             log::info!(
                 request_id = request.id.as_str(), kind = code.as_str(),
                 retry_ms = error.retry_wait().map_or(0, |w| {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -108,6 +108,7 @@
         if *vm != self.settings.vm {
             return self.members.health(vm);
         }
-        EntryHealth { unusable: self.leaving.get(), full: false }
+        let unusable = self.leaving.get() || self.is_starved();
+        EntryHealth { unusable, full: false }
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -224,6 +224,7 @@
         metrics: RouterMetrics::new(),
         leaving: Cell::new(false),
         in_progress: Cell::new(0),
+        starved_until: Cell::new(None),
         catalog: RefCell::new(None),
         roster: RefCell::new(UpstreamRoster::new()),
         latencies: RefCell::new(LatencyBook::new()),
