Eject upstreams by comparison with the others, warm up those that join

Cause: under a hot account and a crash every engine answered late, and each router ejected one after the other (61 ejections for silence within 8 s), which burdened the rest. New engines became home to a twelfth of all shared parts at once and answered in 0.9 to 1.3 s at the middle. Ruled out: waiting for tokens (p90 0 ms).

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -519,5 +519,5 @@
 /// The most tokens that all routers together keep ahead of need.
 fn fleet_float(prepaid: u64, free: u64) -> f64 {
     let left = free as f64 / prepaid.max(1) as f64;
-    prepaid as f64 * left * left * FLOAT_PERCENT as f64 / 100.0
+    prepaid as f64 * left.powi(2) * FLOAT_PERCENT as f64 / 100.0
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -154,7 +154,9 @@
     pub(super) fn refresh_upstreams(&self) {
         let roster = self.roster.borrow();
         let catalog = self.catalog.borrow().clone();
-        let routers = self.directory.entry_count().max(1) as f64;
+        // Callers are sent to as many routers as an entry answer names.
+        let routers = self.directory.entry_count();
+        let routers = routers.clamp(1, self.settings.entry_width) as f64;
         let mut views = Vec::new();
         for entry in roster.usable() {
             let service = catalog
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -7,7 +7,7 @@
 //! did not run the request.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -55,6 +55,14 @@
     may_have_run: Cell<bool>,
     sends: Cell<u32>,
     events: Cell<u64>,
+    /// The upstream that was tried last.
+    upstream: RefCell<String>,
+    /// Time until the tokens were set aside.
+    tokens_at: Cell<Duration>,
+    /// Time until the request left for the last time.
+    sent_at: Cell<Duration>,
+    /// Time until the first byte of the answer was there.
+    answered_at: Cell<Duration>,
 }
 
 /// Serves one request; `false` if the connection has to be closed.
@@ -152,8 +160,12 @@
         account,
         route = request.route.name.as_str(),
         catalog = request.catalog_version,
+        upstream = progress.upstream.borrow().as_str(),
         sends = progress.sends.get(),
         events = progress.events.get(),
+        tokens_ms = progress.tokens_at.get().as_millis() as u64,
+        sent_ms = progress.sent_at.get().as_millis() as u64,
+        answered_ms = progress.answered_at.get().as_millis() as u64,
         took_ms = took.as_millis() as u64,
         outcome = outcome.as_str();
         "request ended"
@@ -204,6 +216,7 @@
             Ok(hold) => hold,
             Err(error) => return CallEnd::Failed(error),
         };
+        self.progress.tokens_at.set(self.request.arrived.elapsed());
         loop {
             let slot = match self.admit().await {
                 Ok(slot) => slot,
@@ -285,6 +298,7 @@
         let (core, request, progress) =
             (self.core, self.request, self.progress);
         let upstream = slot.upstream().vm.clone();
+        progress.upstream.replace(upstream.clone());
         let mut attempt = CallAttempt::new(core, request, slot);
         attempt.resume_after = self.position.last_event;
         // One attempt is under way; another one has to be left after it.
@@ -295,6 +309,7 @@
         let note_sent = || {
             progress.may_have_run.set(true);
             progress.sends.set(progress.sends.get() + 1);
+            progress.sent_at.set(request.arrived.elapsed());
             hold.note_used(hold.used().max(request.ceiling.prompt));
         };
         let start = attempt.start(note_sent).await;
@@ -410,6 +425,7 @@
         } else {
             attempt.note_answer();
         }
+        self.progress.answered_at.set(request.arrived.elapsed());
         drop(attempt);
         if responder.has_begun() {
             // A stream cannot go on with an answer of another kind.
@@ -457,6 +473,9 @@
             attempt.note_answer();
             let account = request.account_name();
             let took = request.arrived.elapsed();
+            if self.progress.answered_at.get().is_zero() {
+                self.progress.answered_at.set(took);
+            }
             let metrics = &self.core.metrics;
             metrics.note_first_token(account, &request.route.name, took);
         }
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -7,9 +7,15 @@
 
 use std::time::{Duration, Instant};
 
-/// Failure level at which an upstream is ejected.
+/// Failure level above that of the other upstreams at which one is ejected.
 const EJECT_LEVEL: f64 = 3.0;
 
+/// Largest failure level.
+const LARGEST_LEVEL: f64 = 8.0;
+
+/// Time in which a failure level falls to half by itself.
+const LEVEL_HALF_TIME: Duration = Duration::from_secs(3);
+
 /// What one good answer takes off the failure level.
 const GOOD_ANSWER: f64 = 0.5;
 
@@ -17,7 +23,7 @@
 const FAILED_ANSWER: f64 = 1.25;
 
 /// What a lost or spoiled answer adds to the failure level.
-const LOST_ANSWER: f64 = 1.5;
+const LOST_ANSWER: f64 = 1.25;
 
 /// What a request without any answer adds to the failure level.
 const SILENT_REQUEST: f64 = 2.0;
@@ -68,6 +74,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamHealth {
     level: f64,
+    level_at: Option<Instant>,
     ejected_until: Option<Instant>,
     ejections: u32,
     probation: u32,
@@ -102,8 +109,26 @@
         (self.samples >= SLOWNESS_SAMPLES).then_some(self.slowness)
     }
 
+    /// How much has failed lately.
+    pub fn level(&self, now: Instant) -> f64 {
+        let Some(at) = self.level_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.level * 0.5_f64.powf(age / LEVEL_HALF_TIME.as_secs_f64())
+    }
+
+    fn set_level(&mut self, level: f64, now: Instant) {
+        self.level = level.clamp(0.0, LARGEST_LEVEL);
+        self.level_at = Some(now);
+    }
+
     /// Notes what a request came to.
     ///
+    /// `usual` is the level of the other upstreams of the service. When all
+    /// of them fail alike, it is the load or the requests, and ejecting one
+    /// after the other would only burden the rest.
+    ///
     /// # Example
     ///
     /// ```
@@ -113,29 +138,33 @@
     ///
     /// let now = Instant::now();
     /// let mut health = UpstreamHealth::new();
-    /// health.note(UpstreamOutcome::Unreachable, now);
+    /// health.note(UpstreamOutcome::Unreachable, 0.0, now);
     /// assert!(health.is_ejected(now));
     /// ```
     pub fn note(
         &mut self,
         outcome: UpstreamOutcome,
+        usual: f64,
         now: Instant,
     ) -> Option<HealthChange> {
-        match outcome {
+        let weight = match outcome {
             UpstreamOutcome::Answered { slowness } => {
-                self.note_answer(slowness)
+                return self.note_answer(slowness, now);
             }
-            UpstreamOutcome::Failed => self.note_failure(FAILED_ANSWER, now),
-            UpstreamOutcome::Lost => self.note_failure(LOST_ANSWER, now),
-            UpstreamOutcome::Silent => self.note_failure(SILENT_REQUEST, now),
-            UpstreamOutcome::Unreachable => {
-                self.note_failure(EJECT_LEVEL, now)
-            }
-        }
+            UpstreamOutcome::Failed => FAILED_ANSWER,
+            UpstreamOutcome::Lost => LOST_ANSWER,
+            UpstreamOutcome::Silent => SILENT_REQUEST,
+            UpstreamOutcome::Unreachable => EJECT_LEVEL + usual,
+        };
+        self.note_failure(weight, usual, now)
     }
 
-    fn note_answer(&mut self, slowness: f64) -> Option<HealthChange> {
-        self.level = (self.level - GOOD_ANSWER).max(0.0);
+    fn note_answer(
+        &mut self,
+        slowness: f64,
+        now: Instant,
+    ) -> Option<HealthChange> {
+        self.set_level(self.level(now) - GOOD_ANSWER, now);
         self.samples = self.samples.saturating_add(1);
         if self.samples == 1 {
             self.slowness = slowness;
@@ -149,20 +178,22 @@
             return None;
         }
         self.ejections = 0;
-        self.level = 0.0;
+        self.set_level(0.0, now);
         Some(HealthChange::Readmitted)
     }
 
     fn note_failure(
         &mut self,
         weight: f64,
+        usual: f64,
         now: Instant,
     ) -> Option<HealthChange> {
         if self.is_ejected(now) {
             return None;
         }
-        self.level += weight;
-        if self.probation == 0 && self.level < EJECT_LEVEL {
+        self.set_level(self.level(now) + weight, now);
+        let is_worse = self.level - usual >= EJECT_LEVEL;
+        if self.probation == 0 && !is_worse {
             return None;
         }
         let factor = 2_u32.saturating_pow(self.ejections);
@@ -170,7 +201,7 @@
         self.ejections = (self.ejections + 1).min(8);
         self.ejected_until = Some(now + time);
         self.probation = PROBATION_ANSWERS;
-        self.level = 0.0;
+        self.set_level(0.0, now);
         Some(HealthChange::Ejected(time))
     }
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -23,6 +23,9 @@
 /// An upstream that refused a connection is left alone for this long.
 const PENALTY_TIME: Duration = Duration::from_secs(1);
 
+/// Time in which an upstream that joins becomes home to its shared parts.
+const WARM_UP_TIME: Duration = Duration::from_secs(8);
+
 /// A load report counts for this long.
 const LOAD_TIME: Duration = Duration::from_secs(2);
 
@@ -88,6 +91,8 @@
     load: Option<(u32, Instant)>,
     pending_tokens: u64,
     health: UpstreamHealth,
+    /// When the upstream joined the others; `None` if it was there first.
+    joined: Option<Instant>,
     removed: bool,
 }
 
@@ -118,6 +123,20 @@
         (at.elapsed() < LOAD_TIME).then_some(load)
     }
 
+    /// Whether the upstream is the home of shared parts already.
+    ///
+    /// One that joined the others lately has read nothing. It takes over
+    /// one part after the other, so that it need not read all at once.
+    fn is_warm(&self, affinity: &str, now: Instant) -> bool {
+        let Some(joined) = self.joined else {
+            return true;
+        };
+        let age = now.saturating_duration_since(joined);
+        let part = age.as_secs_f64() / WARM_UP_TIME.as_secs_f64();
+        let weight = self.weight(affinity) as u32;
+        f64::from(weight) < part * f64::from(u32::MAX)
+    }
+
     fn weight(&self, affinity: &str) -> u64 {
         rendezvous_weight(affinity, &self.view.vm)
     }
@@ -191,8 +210,10 @@
     ) -> Option<HealthChange> {
         self.note_read();
         let mut state = self.table.state.borrow_mut();
+        let now = Instant::now();
+        let usual = state.usual_level(&self.view, now);
         let entry = state.upstreams.get_mut(&self.view.vm)?;
-        entry.health.note(outcome, Instant::now())
+        entry.health.note(outcome, usual, now)
     }
 
     /// Notes that the upstream has read the prompt.
@@ -369,6 +390,7 @@
 
 impl TableState {
     fn update(&mut self, views: &[UpstreamView]) {
+        let is_first = self.upstreams.is_empty();
         for entry in self.upstreams.values_mut() {
             entry.removed = true;
         }
@@ -382,6 +404,7 @@
                 load: None,
                 pending_tokens: 0,
                 health: UpstreamHealth::new(),
+                joined: (!is_first).then(Instant::now),
                 removed: false,
             });
             entry.removed = false;
@@ -407,6 +430,19 @@
         entries.any(|entry| entry.serves(service, call))
     }
 
+    /// The middle failure level of the other upstreams of a service.
+    fn usual_level(&self, view: &UpstreamView, now: Instant) -> f64 {
+        let mut levels = Vec::new();
+        for (vm, entry) in &self.upstreams {
+            let is_other = *vm != view.vm && !entry.removed;
+            if is_other && entry.view.service == view.service {
+                levels.push(entry.health.level(now));
+            }
+        }
+        levels.sort_by(f64::total_cmp);
+        levels.get(levels.len() / 2).copied().unwrap_or(0.0)
+    }
+
     /// What the upstreams that serve a call have in common.
     fn fit(&self, service: &str, call: &QueuedCall) -> ServiceFit {
         let now = Instant::now();
@@ -420,7 +456,7 @@
             serving += 1;
             slownesses.extend(entry.health.slowness());
             if !entry.health.is_ejected(now) {
-                healthy.push(vm);
+                healthy.push((vm, entry));
             }
         }
         slownesses.sort_by(f64::total_cmp);
@@ -439,7 +475,7 @@
     fn home(
         &self,
         call: &QueuedCall,
-        mut healthy: Vec<&String>,
+        mut healthy: Vec<(&String, &UpstreamEntry)>,
         now: Instant,
     ) -> Option<String> {
         let first = &call.hint.first_part;
@@ -447,12 +483,14 @@
             return None;
         }
         let spread = self.affinities.spread(first, healthy.len(), now);
-        healthy.sort_by_cached_key(|vm| {
+        let affinity = call.affinity.as_str();
+        healthy.retain(|(_, entry)| entry.is_warm(affinity, now));
+        healthy.sort_by_cached_key(|(vm, _)| {
             std::cmp::Reverse(rendezvous_weight(first, vm))
         });
         healthy.truncate(spread);
-        let weight = |vm: &&String| rendezvous_weight(&call.affinity, vm);
-        healthy.into_iter().max_by_key(weight).cloned()
+        let best = healthy.into_iter().max_by_key(|(_, e)| e.weight(affinity));
+        best.map(|(vm, _)| vm.clone())
     }
 
     /// The best upstream with a free slot for a call.
