--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -14,7 +14,7 @@
 /// It shrinks with the square of what is left. Tokens ahead of need serve
 /// requests while a router is cut off, and are lost with a router that dies.
 /// An account with much left bears such a loss; one near its end does not.
-const FLOAT_PERCENT: u64 = 50;
+const FLOAT_PERCENT: u64 = 75;
 
 /// Tokens are taken as soon as less than this part of the float is at hand,
 /// in percent.
