--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -85,11 +85,16 @@
         };
         // Callers are told that a connection ends. One that ended without
         // a word would cut off a request that is under way to it.
-        let keeps = request.keeps_alive() && !core.leaving.get();
+        let keeps = request.keeps_alive() && !core.is_leaving();
         responder.reset(!keeps);
         core.in_progress.set(core.in_progress.get() + 1);
         let front = core.ports.front.clone();
-        let served = match front.decode_call(core, request) {
+        let call = front.decode_call(core, request);
+        let call = call.and_then(|call| {
+            core.check_leaving(&call)?;
+            Ok(call)
+        });
+        let served = match call {
             Ok(call) => {
                 let call = Rc::new(call);
                 dispatch::serve(core, &call, &mut reader, &mut responder).await
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::{CallRequest, GatewayFront, LatencyBook};
+use super::{CallRequest, GatewayFront, LatencyBook, LeavePlan};
 use crate::{
     allowance::AllowanceKeeper,
     catalog::RouteCatalog,
@@ -39,6 +39,9 @@
 /// Least requests that a router may have in progress at one upstream.
 const LEAST_SHARE: u32 = 2;
 
+/// `Retry-After` of a router that leaves; the others can take the request.
+const LEAVING_RETRY: Duration = Duration::from_millis(10);
+
 /// Time for which a router that lacks tokens is not named to callers.
 const STARVED_TIME: Duration = Duration::from_secs(2);
 
@@ -84,8 +87,8 @@
     pub members: Rc<MemberTable>,
     /// Metrics.
     pub metrics: RouterMetrics,
-    /// Whether the gateway is leaving.
-    pub leaving: Cell<bool>,
+    /// When the gateway was told to leave.
+    pub(super) leaving_since: Cell<Option<Instant>>,
     /// Requests of callers in progress.
     pub in_progress: Cell<usize>,
     /// Until when callers are better served by other routers.
@@ -110,11 +113,40 @@
         })
     }
 
+    /// Whether the gateway was told to leave.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.get().is_some()
+    }
+
+    /// The schedule of leaving.
+    pub(super) fn leave_plan(&self) -> LeavePlan {
+        let settings = &self.settings;
+        LeavePlan::new(settings.leave_time, settings.entry_lifetime)
+    }
+
+    /// Refuses a request that a leaving gateway may not finish.
+    pub(super) fn check_leaving(
+        &self,
+        request: &CallRequest,
+    ) -> Result<(), CallError> {
+        let Some(since) = self.leaving_since.get() else {
+            return Ok(());
+        };
+        let route = &request.route;
+        let plan = self.leave_plan();
+        if plan.admits(since.elapsed(), route.kind, route.time_limit) {
+            return Ok(());
+        }
+        let message = "the router leaves and may not finish the request";
+        let error = CallError::new(ErrorKind::Leaving, message);
+        Err(error.with_retry_wait(LEAVING_RETRY))
+    }
+
     /// Whether the gateway may take requests.
     pub fn is_ready(&self) -> bool {
         self.catalog.borrow().is_some()
             && self.roster.borrow().is_loaded()
-            && !self.leaving.get()
+            && !self.is_leaving()
     }
 
     /// Notes that a request was refused for want of tokens.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -108,7 +108,7 @@
         if *vm != self.settings.vm {
             return self.members.health(vm);
         }
-        let unusable = self.leaving.get() || self.is_starved();
+        let unusable = self.is_leaving() || self.is_starved();
         EntryHealth { unusable, full: false }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! * `patience` tells when an upstream takes longer than it should.
 //! * `callers` and `entry` run the listeners.
 //! * `follow` keeps catalog and upstreams up to date.
+//! * [`LeavePlan`] tells what a gateway that leaves still takes.
 //! * `peers` answers other routers.
 //! * [`GatewayProcess`] takes the process through its life.
 
@@ -23,6 +24,7 @@
 mod dispatch;
 mod entry;
 mod follow;
+mod leave;
 mod patience;
 mod peers;
 mod process;
@@ -32,6 +34,7 @@
 pub use self::{
     core::{GatewayCore, GatewayPorts},
     entry::EntryQuery,
+    leave::LeavePlan,
     patience::{LatencyBook, expected_time},
     process::{GatewayProcess, Leaving, Serving, Starting},
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -33,13 +33,6 @@
 /// How often a leaving gateway looks at what is still in progress.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 
-/// Lifetimes of an entry answer for which a leaving gateway accepts callers;
-/// some callers keep an answer longer than they should.
-const LEAVE_LIFETIMES: u32 = 3;
-
-/// Time of the leave time that is kept for the last settlements.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
-
 /// A process that has read its settings.
 #[derive(Debug)]
 pub struct Starting;
@@ -155,7 +148,7 @@
             }
         }
         log::info!("gateway leaves");
-        self.core.leaving.set(true);
+        self.core.leaving_since.set(Some(Instant::now()));
         self.core.members.set_leaving();
         let core = self.core.clone();
         monoio::spawn(async move {
@@ -169,13 +162,11 @@
     /// Finishes what the leave time allows; `true` if all is settled.
     pub async fn finish(self) -> bool {
         let started = Instant::now();
-        let settings = &self.core.settings;
-        let end = settings.leave_time.saturating_sub(SETTLE_TIME);
-        let accept = settings.entry_lifetime * LEAVE_LIFETIMES;
-        let accept = accept.min(end);
+        let plan = self.core.leave_plan();
+        let end = plan.work_time();
         loop {
             let elapsed = started.elapsed();
-            let accepting = elapsed < accept;
+            let accepting = elapsed < plan.accept_time();
             if !accepting {
                 self.stop_listening.notify_one();
             }
@@ -186,7 +177,7 @@
             self.core.timer.sleep(LEAVE_POLL).await;
         }
         let cut = self.core.in_progress.get();
-        let settled = self.core.keeper.drain(SETTLE_TIME / 2).await;
+        let settled = self.core.keeper.drain(plan.settle_time()).await;
         log::info!(cut, settled; "gateway ends");
         settled
     }
@@ -222,7 +213,7 @@
         directory,
         members: Rc::new(members),
         metrics: RouterMetrics::new(),
-        leaving: Cell::new(false),
+        leaving_since: Cell::new(None),
         in_progress: Cell::new(0),
         starved_until: Cell::new(None),
         catalog: RefCell::new(None),
