--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -170,16 +170,22 @@
             if !accepting {
                 self.stop_listening.notify_one();
             }
-            let idle = self.core.in_progress.get() == 0;
-            if (!accepting && idle) || elapsed >= end {
-                break;
+            let is_over = elapsed >= end;
+            if is_over || (!accepting && self.is_idle()) {
+                let settled = self.core.keeper.drain(plan.settle_time()).await;
+                // Callers may have used their open connections meanwhile.
+                if is_over || self.is_idle() {
+                    let cut = self.core.in_progress.get();
+                    log::info!(cut, settled; "gateway ends");
+                    return settled;
+                }
             }
             self.core.timer.sleep(LEAVE_POLL).await;
         }
-        let cut = self.core.in_progress.get();
-        let settled = self.core.keeper.drain(plan.settle_time()).await;
-        log::info!(cut, settled; "gateway ends");
-        settled
+    }
+
+    fn is_idle(&self) -> bool {
+        self.core.in_progress.get() == 0
     }
 }
 
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use {
-    env_logger::{Builder, Env},
+    env_logger::{Builder, Env, Target},
     log::kv::{Key, Value, VisitSource},
     serde_json::{Map, json},
 };
@@ -25,7 +25,7 @@
     }
 }
 
-/// Writes one JSON object for each record to standard error.
+/// Writes one JSON object for each record to standard output.
 ///
 /// Every line carries `vm`. The level comes from `MAGNOLIA_LOG`, `info` if
 /// it is not set. A second call has no effect.
@@ -33,6 +33,7 @@
     let vm = vm.to_owned();
     let env = Env::default().filter_or("MAGNOLIA_LOG", "info");
     let mut builder = Builder::from_env(env);
+    builder.target(Target::Stdout);
     builder.format(move |out, record| {
         let mut fields = Map::new();
         fields.insert("time_ms".to_owned(), json!(TimerService::now_ms()));
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -65,7 +65,7 @@
             .args(arguments)
             .env("MAGNOLIA_LOG", "info")
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()?;
         Ok(FleetProcess { child, log: log.to_owned() })
