--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -38,6 +38,7 @@
             to: Some(request.to.into()),
             least: request.least,
             want: request.want,
+            loan: request.loan,
         }
     }
 }
@@ -49,6 +50,7 @@
             to: call.to.unwrap_or_default().into(),
             least: call.least,
             want: call.want,
+            loan: call.loan,
         }
     }
 }
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -18,6 +18,10 @@
     pub least: u64,
     #[prost(uint64, tag = "4")]
     pub want: u64,
+    /// Numbers the loans of the borrower. A call that wants nothing takes the
+    /// loan of this number back.
+    #[prost(uint64, tag = "5")]
+    pub loan: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LendAnswer {
--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -6,7 +6,11 @@
 };
 
 use super::{AllowanceRecord, allowance_key, record::split_key};
-use crate::{budget::GrantSizer, ports::KeyedRecord};
+use crate::{
+    budget::GrantSizer,
+    domain::HolderId,
+    ports::{KeyedRecord, LendRequest},
+};
 
 /// Part of an account's prepaid total that all routers together keep ahead
 /// of need while nothing of it has been taken, in percent.
@@ -23,6 +27,12 @@
 /// Tokens at hand beyond this multiple of the float are given back.
 const EXCESS_FACTOR: f64 = 1.25;
 
+/// Loans that are remembered, the lowest numbers of a VM making room.
+const LARGEST_LOANS: usize = 4_096;
+
+/// The borrower and the number of a loan.
+type LoanId = (HolderId, u64);
+
 /// One record of another VM or the own one.
 #[derive(Clone, Copy, Debug)]
 struct SeenRecord {
@@ -149,6 +159,8 @@
     cursor: u64,
     seen: BTreeMap<String, BTreeMap<String, SeenRecord>>,
     own: BTreeMap<String, OwnUse>,
+    /// Tokens lent, by loan; zero for one that was taken back.
+    loans: BTreeMap<LoanId, u64>,
 }
 
 impl AllowanceBook {
@@ -167,6 +179,7 @@
             cursor: 0,
             seen: BTreeMap::new(),
             own: BTreeMap::new(),
+            loans: BTreeMap::new(),
         }
     }
 
@@ -346,21 +359,48 @@
 
     /// Gives tokens at hand to another VM for good.
     ///
-    /// They count as spent here from now on, whether or not the answer
-    /// arrives.
-    pub fn lend(&mut self, account: &str, least: u64, want: u64) -> u64 {
-        let available = self.available(account);
-        if available < least {
+    /// They count as lent from now on, whether or not the answer arrives. A
+    /// call that is repeated gets the same answer.
+    pub fn lend(&mut self, request: &LendRequest) -> u64 {
+        let LendRequest { budget, least, want, .. } = request;
+        let loan = (request.to.clone(), request.loan);
+        if let Some(known) = self.loans.get(&loan) {
+            return *known;
+        }
+        let available = self.available(budget);
+        if available < *least {
             return 0;
         }
         // Half stays for the own requests, unless the borrower needs more.
-        let tokens = want.min(available / 2).max(least);
-        if let Some(own) = self.own.get_mut(account) {
+        let tokens = (*want).min(available / 2).max(*least);
+        if let Some(own) = self.own.get_mut(budget) {
             own.lent += tokens;
+            self.note_loan(loan, tokens);
         }
         tokens
     }
 
+    /// Takes a loan back whose answer did not reach the borrower.
+    ///
+    /// The call that asked for it may still be under way and then gets
+    /// nothing.
+    pub fn take_back(&mut self, request: &LendRequest) -> u64 {
+        let loan = (request.to.clone(), request.loan);
+        let tokens = self.loans.get(&loan).copied().unwrap_or(0);
+        if let Some(own) = self.own.get_mut(&request.budget) {
+            own.lent -= tokens;
+        }
+        self.note_loan(loan, 0);
+        tokens
+    }
+
+    fn note_loan(&mut self, loan: LoanId, tokens: u64) {
+        if self.loans.len() >= LARGEST_LOANS {
+            self.loans.pop_first();
+        }
+        self.loans.insert(loan, tokens);
+    }
+
     /// Books tokens that another VM has lent.
     pub fn borrow(&mut self, account: &str, tokens: u64, now: Instant) {
         self.own_use(account, now).borrowed += tokens;
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,7 +16,7 @@
     catalog::AccountSpec,
     domain::HolderId,
     error::{CallError, ErrorKind},
-    membership::VmDirectory,
+    membership::{MemberTable, VmDirectory},
     ports::{
         KeyedFault, KeyedPort, KeyedRecord, LendRequest, PeerAnswer, PeerCall,
         PeerPort,
@@ -46,6 +46,13 @@
 /// the return of such a router brings them back.
 const STRANDED_RETRY: Duration = Duration::from_secs(5);
 
+/// Requests of the same size that a loan covers.
+const LOAN_REQUESTS: u64 = 4;
+
+/// Time between two looks for loans whose answers were lost; longer than a
+/// call to a peer takes.
+const TAKE_BACK_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time between two rounds in which a waiting request asks peers.
 const BORROW_PERIOD: Duration = Duration::from_millis(250);
 
@@ -60,6 +67,13 @@
     pub reserve_time: Duration,
 }
 
+/// A loan that was asked for and whose answer has not arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OpenLoan {
+    vm: String,
+    request: LendRequest,
+}
+
 /// What a keeper needs from outside.
 #[derive(Clone)]
 pub struct AllowancePorts {
@@ -69,6 +83,8 @@
     pub peers: Rc<dyn PeerPort>,
     /// The known VMs.
     pub directory: Rc<VmDirectory>,
+    /// What is known of the other routers.
+    pub members: Rc<MemberTable>,
     /// The timer service.
     pub timer: TimerService,
 }
@@ -86,6 +102,9 @@
     healthy: Cell<bool>,
     reads: Cell<u64>,
     leaving: Cell<bool>,
+    borrowing: RefCell<BTreeSet<String>>,
+    last_loan: Cell<u64>,
+    open_loans: RefCell<Vec<OpenLoan>>,
 }
 
 /// Tokens that a request waits for, taken back on drop.
@@ -122,6 +141,9 @@
             healthy: Cell::new(false),
             reads: Cell::new(0),
             leaving: Cell::new(false),
+            borrowing: RefCell::default(),
+            last_loan: Cell::new(0),
+            open_loans: RefCell::default(),
         }
     }
 
@@ -194,7 +216,7 @@
             }
             let lacks = !self.healthy.get() || known;
             let due = borrowed_at.is_none_or(|t| t.elapsed() >= BORROW_PERIOD);
-            if lacks && due {
+            if lacks && due && !self.borrowing.borrow().contains(account) {
                 borrowed_at = Some(Instant::now());
                 if self.borrow(account, tokens).await {
                     continue;
@@ -262,27 +284,50 @@
     }
 
     /// Asks peers for tokens; `true` if one has lent some.
+    ///
+    /// One request of an account asks at a time; the others use what it
+    /// brings.
     async fn borrow(&self, account: &str, tokens: u64) -> bool {
+        if !self.borrowing.borrow_mut().insert(account.to_owned()) {
+            return false;
+        }
+        let borrowed = self.borrow_any(account, tokens).await;
+        self.borrowing.borrow_mut().remove(account);
+        borrowed
+    }
+
+    async fn borrow_any(&self, account: &str, tokens: u64) -> bool {
         let mut lenders = self.book.borrow().lenders(account);
+        lenders.retain(|vm| !self.ports.members.health(vm).unusable);
         lenders.truncate(LENDERS);
-        let request = LendRequest {
-            budget: account.to_owned(),
-            to: self.id.clone(),
-            least: tokens,
-            want: tokens.saturating_mul(2),
-        };
         for vm in lenders {
             let Some(peer) = self.ports.directory.peer_address(&vm) else {
                 continue;
             };
-            let call = PeerCall::Lend(request.clone());
+            self.last_loan.set(self.last_loan.get() + 1);
+            let request = LendRequest {
+                budget: account.to_owned(),
+                to: self.id.clone(),
+                least: tokens,
+                want: tokens.saturating_mul(LOAN_REQUESTS),
+                loan: self.last_loan.get(),
+            };
+            // The loan is open until its answer is here; a caller that
+            // leaves meanwhile leaves it to the task that takes back.
+            let open = OpenLoan { vm, request };
+            self.open_loans.borrow_mut().push(open.clone());
+            let call = PeerCall::Lend(open.request.clone());
             let reply = self.ports.peers.call(peer, call).await;
-            let Ok(PeerAnswer::Lent(Some(reply))) = reply else {
+            let Ok(PeerAnswer::Lent(reply)) = reply else {
+                continue;
+            };
+            self.close_loan(&open);
+            let Some(reply) = reply else {
                 continue;
             };
             let now = Instant::now();
             log::info!(
-                account, tokens = reply.tokens, peer = vm.as_str();
+                account, tokens = reply.tokens, peer = open.vm.as_str();
                 "tokens borrowed"
             );
             self.book.borrow_mut().borrow(account, reply.tokens, now);
@@ -292,20 +337,64 @@
         false
     }
 
+    fn close_loan(&self, loan: &OpenLoan) {
+        self.open_loans.borrow_mut().retain(|open| open != loan);
+    }
+
     /// Gives tokens at hand to a peer for good; zero if there are too few.
+    ///
+    /// A peer that wants nothing takes a loan back whose answer it missed.
     pub fn lend(&self, request: &LendRequest) -> u64 {
-        let LendRequest { budget, least, want, .. } = request;
-        let tokens = self.book.borrow_mut().lend(budget, *least, *want);
+        let mut book = self.book.borrow_mut();
+        let account = request.budget.as_str();
+        let peer = request.to.vm.as_str();
+        if request.want == 0 {
+            let tokens = book.take_back(request);
+            log::info!(account, tokens, peer; "loan taken back");
+            return 0;
+        }
+        let tokens = book.lend(request);
         if tokens > 0 {
-            log::info!(
-                account = budget.as_str(), tokens,
-                peer = request.to.vm.as_str();
-                "tokens lent"
-            );
+            log::info!(account, tokens, peer; "tokens lent");
         }
         tokens
     }
 
+    /// Has loans taken back whose answers were lost, for as long as the
+    /// task lives.
+    pub async fn run_loans(self: Rc<Self>) {
+        let ticks = self.ports.timer.subscribe(TAKE_BACK_PERIOD);
+        let mut before: Vec<OpenLoan> = Vec::new();
+        loop {
+            ticks.tick().await;
+            // A loan that was open a period ago has no answer under way.
+            let open = self.open_loans.borrow().clone();
+            for loan in &open {
+                if before.contains(loan) {
+                    self.abandon(loan).await;
+                }
+            }
+            before = open;
+        }
+    }
+
+    async fn abandon(&self, loan: &OpenLoan) {
+        let Some(peer) = self.ports.directory.peer_address(&loan.vm) else {
+            // A VM that is not listed any more has nothing to take back.
+            self.close_loan(loan);
+            return;
+        };
+        if self.ports.members.health(&loan.vm).unusable {
+            return;
+        }
+        let request =
+            LendRequest { least: 0, want: 0, ..loan.request.clone() };
+        let call = PeerCall::Lend(request);
+        if self.ports.peers.call(peer, call).await.is_ok() {
+            self.close_loan(loan);
+        }
+    }
+
     /// Reads and writes the records for as long as the task lives.
     pub async fn run(self: Rc<Self>) {
         loop {
--- a/src/budget/keeper/reserve.rs
+++ b/src/budget/keeper/reserve.rs
@@ -218,6 +218,9 @@
             to: self.id(),
             least: tokens,
             want: self.wanted(budget, tokens),
+            // A loan of a grant is recorded in the log, which also tells of
+            // one whose answer was lost.
+            loan: 0,
         };
         for vm in lenders {
             let Some(peer) = self.ports.directory.peer_address(vm) else {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -96,6 +96,7 @@
         monoio::spawn(follow::run_upstreams(core.clone()));
         monoio::spawn(follow::run_vm_list(core.clone()));
         monoio::spawn(core.keeper.clone().run());
+        monoio::spawn(core.keeper.clone().run_loans());
         let members = core.members.clone();
         let peers = core.ports.peers.clone();
         monoio::spawn(members.run(peers, core.timer.clone()));
@@ -138,14 +139,9 @@
 impl GatewayProcess<Serving> {
     /// Serves until the process is told to leave.
     pub async fn serve(mut self) -> GatewayProcess<Leaving> {
-        loop {
-            match self.signals.recv().await {
-                Some(ProcessSignal::Reload) => {
-                    log::info!("settings are read at the next start only");
-                }
-                // A closed channel cannot be told from an order to leave.
-                Some(ProcessSignal::Leave) | None => break,
-            }
+        // A closed channel cannot be told from an order to leave.
+        while self.signals.recv().await == Some(ProcessSignal::Reload) {
+            log::info!("reload: settings take effect at the next start");
         }
         log::info!("gateway leaves");
         self.core.leaving_since.set(Some(Instant::now()));
@@ -200,15 +196,17 @@
         horizon: settings.budgets.grant_horizon,
         reserve_time: settings.budgets.reserve_time,
     };
+    let members =
+        MemberTable::new(id.clone(), directory.clone(), MemberOptions::new());
+    let members = Rc::new(members);
     let keeper_ports = AllowancePorts {
         topics: ports.topics.clone(),
         peers: ports.peers.clone(),
         directory: directory.clone(),
+        members: members.clone(),
         timer: timer.clone(),
     };
     let keeper = AllowanceKeeper::new(id.clone(), options, keeper_ports);
-    let members =
-        MemberTable::new(id.clone(), directory.clone(), MemberOptions::new());
     GatewayCore {
         settings,
         id,
@@ -217,7 +215,7 @@
         keeper: Rc::new(keeper),
         table: UpstreamTable::new(),
         directory,
-        members: Rc::new(members),
+        members,
         metrics: RouterMetrics::new(),
         leaving_since: Cell::new(None),
         in_progress: Cell::new(0),
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -32,6 +32,9 @@
     pub least: u64,
     /// The number of tokens asked for.
     pub want: u64,
+    /// Numbers the loans of one borrower, so that a repeated call lends
+    /// nothing more, and a loan whose answer was lost can be taken back.
+    pub loan: u64,
 }
 
 /// Tokens moved from the holder of a grant to another one.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -8,7 +8,8 @@
 use {
     magnoliahaven::{
         allowance::{AllowanceBook, AllowanceDraft, allowance_key},
-        ports::KeyedRecord,
+        domain::HolderId,
+        ports::{KeyedRecord, LendRequest},
     },
     proptest::prelude::*,
 };
@@ -115,6 +116,16 @@
     proptest::collection::vec(step, 1..200)
 }
 
+fn loan(borrower: &Router, tokens: u64, number: u64) -> LendRequest {
+    LendRequest {
+        budget: ACCOUNT.to_owned(),
+        to: HolderId::new(&borrower.vm, borrower.incarnation),
+        least: tokens,
+        want: tokens,
+        loan: number,
+    }
+}
+
 /// What really happened, as callers and upstreams would count it.
 struct Truth {
     prepaid: u64,
@@ -181,10 +192,19 @@
                 if from == to {
                     continue;
                 }
-                let lent = routers[from].book.lend(ACCOUNT, tokens, tokens);
-                // Every third answer is lost.
-                if lent > 0 && tokens % 3 > 0 {
+                let request = loan(&routers[to], tokens, tick as u64);
+                // Every third answer is lost, and the loan is taken back
+                // before or after the call arrives, or not at all.
+                if tokens % 3 > 0 {
+                    let lent = routers[from].book.lend(&request);
                     routers[to].book.borrow(ACCOUNT, lent, now);
+                } else if tokens % 2 > 0 {
+                    routers[from].book.take_back(&request);
+                    let lent = routers[from].book.lend(&request);
+                    prop_assert_eq!(lent, 0);
+                } else {
+                    routers[from].book.lend(&request);
+                    routers[from].book.take_back(&request);
                 }
             }
             Step::Restart { router } => {
@@ -308,6 +328,25 @@
     assert!(!two.book.is_exhausted(ACCOUNT, 1_000, 10));
 }
 
+/// A router that was frozen answers calls that nobody waits for any more.
+#[test]
+fn a_loan_whose_answer_was_lost_is_not_lost() {
+    let now = Instant::now();
+    let mut topic = Topic::default();
+    let (mut one, two) = (Router::new(1, 1), Router::new(2, 1));
+    one.book.add_unmet(ACCOUNT, 600, now);
+    sync(&mut one, &mut topic, 1_000, now);
+    one.book.remove_unmet(ACCOUNT, 600);
+    let (first, second) = (loan(&two, 200, 1), loan(&two, 200, 2));
+    // Taken back after it was lent, and before the call arrives.
+    assert_eq!(one.book.lend(&first), 200);
+    assert_eq!(one.book.lend(&first), 200);
+    assert_eq!(one.book.take_back(&first), 200);
+    assert_eq!(one.book.take_back(&second), 0);
+    assert_eq!(one.book.lend(&second), 0);
+    assert!(one.book.reserve(ACCOUNT, 600, now));
+}
+
 /// Load pattern of a cut: 8 s without the store at a steady draw.
 ///
 /// With much of an account left, a router that was busy serves most of the
