Wait longer for upstreams, and tell callers how long an outage lasts

Callers that were refused during a cut came back within a second and were refused again. Ruled out: waiting for slots or tokens. Now 0.6 of the objective or five times the usual time, and a Retry-After as long as the outage has lasted.

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -46,6 +46,10 @@
 /// the return of such a router brings them back.
 const STRANDED_RETRY: Duration = Duration::from_secs(5);
 
+/// Shortest and longest `Retry-After` while the topic is out of reach.
+const OUTAGE_RETRY: [Duration; 2] =
+    [Duration::from_secs(1), Duration::from_secs(5)];
+
 /// Requests of the same size that a loan covers.
 const LOAN_REQUESTS: u64 = 4;
 
@@ -100,6 +104,7 @@
     urgent: Notify,
     loaded: Cell<bool>,
     healthy: Cell<bool>,
+    lost_since: Cell<Option<Instant>>,
     reads: Cell<u64>,
     leaving: Cell<bool>,
     borrowing: RefCell<BTreeSet<String>>,
@@ -139,6 +144,7 @@
             urgent: Notify::new(),
             loaded: Cell::new(false),
             healthy: Cell::new(false),
+            lost_since: Cell::new(None),
             reads: Cell::new(0),
             leaving: Cell::new(false),
             borrowing: RefCell::default(),
@@ -280,7 +286,12 @@
              free, {held} held, {lost} lost, {available} here, store \
              reachable: {reachable}"
         );
-        CallError::new(ErrorKind::BudgetUnavailable, message)
+        let error = CallError::new(ErrorKind::BudgetUnavailable, message);
+        let lost_for = self.lost_since.get().map(|since| since.elapsed());
+        match lost_for {
+            Some(time) => error.with_retry_wait(outage_left(time)),
+            None => error,
+        }
     }
 
     /// Asks peers for tokens; `true` if one has lent some.
@@ -506,6 +517,7 @@
         if self.healthy.replace(healthy) == healthy {
             return;
         }
+        self.lost_since.set((!healthy).then(Instant::now));
         let state = if healthy { "regained" } else { "lost" };
         log::info!(dependency = "allowance topic"; "dependency {state}");
     }
@@ -519,3 +531,8 @@
         matches!(synced, Ok(Ok(())))
     }
 }
+
+/// How long an outage lasts that has lasted for `time`: about as long again.
+fn outage_left(time: Duration) -> Duration {
+    time.clamp(OUTAGE_RETRY[0], OUTAGE_RETRY[1])
+}
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -14,10 +14,10 @@
 const SLOWNESS_WEIGHT: f64 = 0.1;
 
 /// An upstream is given this multiple of the time that answers take.
-const PATIENCE_FACTOR: f64 = 3.0;
+const PATIENCE_FACTOR: f64 = 5.0;
 
 /// Part of the objective for which an upstream is waited for in any case.
-const OBJECTIVE_PART: f64 = 0.5;
+const OBJECTIVE_PART: f64 = 0.6;
 
 /// The time in which an unloaded upstream begins to answer.
 ///
@@ -67,7 +67,7 @@
     /// let expected = Duration::from_millis(100);
     /// let objective = Duration::from_millis(400);
     /// let patience = book.patience("chat", expected, objective);
-    /// assert_eq!(patience, Duration::from_millis(300));
+    /// assert_eq!(patience, Duration::from_millis(500));
     /// ```
     pub fn patience(
         &self,
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -26,7 +26,7 @@
 const LOST_ANSWER: f64 = 1.25;
 
 /// What a request without any answer adds to the failure level.
-const SILENT_REQUEST: f64 = 2.0;
+const SILENT_REQUEST: f64 = 1.5;
 
 /// First time for which an upstream is ejected; doubles each time.
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
