--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -116,6 +116,7 @@
             address: ([127, 0, 0, 1], number as u16).into(),
             peer_address: None,
             operator_address: None,
+            capacity: 0,
             service: String::new(),
             version: String::new(),
         };
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -170,6 +170,21 @@
         })
     }
 
+    /// A number of cores in hundredths, or 0 if it is absent.
+    pub fn cores(&mut self, key: &str) -> u32 {
+        let Some(value) = self.take(key) else {
+            return 0;
+        };
+        let cores = value.as_f64().filter(|n| (0.01..=1_024.0).contains(n));
+        let Some(cores) = cores else {
+            let found = shown(&value);
+            let wanted = "a number of cores from 0.01 to 1024";
+            self.fault(key, format!("expected {wanted}, {found}"));
+            return 0;
+        };
+        (cores * 100.0).round() as u32
+    }
+
     /// A list of addresses `IP:PORT`; empty if it is absent.
     pub fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -96,8 +96,10 @@
     pub retries: RetrySettings,
     /// Lifetime of an entry answer.
     pub entry_lifetime: Duration,
-    /// Entry VMs that one entry answer names.
+    /// Entry VMs that one entry answer names at least.
     pub entry_width: usize,
+    /// Processor of the VM in hundredths of a core; 0 if it is not known.
+    pub capacity: u32,
     /// Longest time between the order to leave and the end of the process.
     pub leave_time: Duration,
     /// Peer addresses of routers to ask at the start, in case the platform
@@ -171,6 +173,7 @@
             reader.fault("log.retention", format!("must be {wanted}"));
         }
         let entry_width = reader.number("entry_width", 5, 1..=64) as usize;
+        let capacity = reader.cores("capacity");
         let retries = parse_retries(&mut reader);
         let leave_time =
             reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
@@ -190,6 +193,7 @@
             retries,
             entry_lifetime,
             entry_width,
+            capacity,
             leave_time,
             seeds,
         })
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,9 @@
     ports::{VmEntry, VmRole, VmState},
 };
 
+/// One in this many entry VMs serves callers; the others stand by.
+const PICK_DIVISOR: usize = 3;
+
 /// The key of the ranking that all callers share.
 const PICK_KEY: &str = "entry";
 
@@ -101,11 +104,25 @@
     }
 }
 
+/// How many of `count` entry VMs callers are sent to, `least` or more.
+///
+/// # Example
+///
+/// ```
+/// use magnoliahaven::entry::pick_width;
+///
+/// assert_eq!(pick_width(9, 5), 5);
+/// assert_eq!(pick_width(61, 5), 21);
+/// ```
+pub fn pick_width(count: usize, least: usize) -> usize {
+    count.div_ceil(PICK_DIVISOR).max(least)
+}
+
 /// Picks the entry VMs that all callers share.
 ///
 /// Few routers at work keep the prepaid tokens of an account in few places.
-/// The picks take turns between failure domains, those of `region` first,
-/// and are the same at every router with the same list. A router that finds
+/// The picks take turns between failure domains, those of `region` and
+/// large VMs first, and are the same at every router with the same list. A router that finds
 /// most others unusable has most likely lost its own links, and goes by the
 /// list alone.
 pub fn pick_entries<'a>(
@@ -130,7 +147,8 @@
     }
     live.sort_by_key(|(name, entry, known)| {
         let weight = std::cmp::Reverse(rendezvous_weight(PICK_KEY, name));
-        (entry.region != region, known.full, weight)
+        let capacity = std::cmp::Reverse(entry.capacity);
+        (entry.region != region, known.full, capacity, weight)
     });
     // The place of each VM within its own failure domain decides first.
     let mut places: BTreeMap<&str, usize> = BTreeMap::new();
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -188,7 +188,7 @@
         let catalog = self.catalog.borrow().clone();
         // Callers are sent to as many routers as an entry answer names.
         let routers = self.directory.entry_count();
-        let routers = routers.clamp(1, self.settings.entry_width) as f64;
+        let routers = routers.clamp(1, self.entry_width()) as f64;
         let mut views = Vec::new();
         for entry in roster.usable() {
             let service = catalog
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -9,7 +9,7 @@
     adapters::http::{
         HttpConnection, HttpRequest, MessageLimits, text_response,
     },
-    entry::{EntryHealth, pick_entries},
+    entry::{EntryHealth, pick_entries, pick_width},
 };
 
 /// Longest time for which an idle connection is kept.
@@ -93,7 +93,7 @@
     /// The addresses that a caller may connect to, in no order.
     pub fn entry_addresses(&self, query: &EntryQuery) -> Vec<SocketAddr> {
         let vms = self.directory.vms();
-        let width = self.settings.entry_width.min(LARGEST_ANSWER);
+        let width = self.entry_width().min(LARGEST_ANSWER);
         let health = |vm: &str| self.entry_health(vm);
         let picks = pick_entries(vms.iter(), &query.region, width, health);
         let mut addresses: Vec<SocketAddr> =
@@ -104,6 +104,12 @@
         addresses
     }
 
+    /// How many routers callers are sent to.
+    pub(super) fn entry_width(&self) -> usize {
+        let count = self.directory.entry_count();
+        pick_width(count, self.settings.entry_width)
+    }
+
     fn entry_health(&self, vm: &str) -> EntryHealth {
         if *vm != self.settings.vm {
             return self.members.health(vm);
--- a/src/ports/vm_list.rs
+++ b/src/ports/vm_list.rs
@@ -44,6 +44,10 @@
         /// Where operators reach an entry VM.
         #[serde(default)]
         pub operator_address: Option<SocketAddr>,
+        /// Processor of an entry VM in hundredths of a core; 0 if it is not
+        /// known.
+        #[serde(default)]
+        pub capacity: u32,
         /// The service that a worker serves.
         #[serde(default)]
         pub service: String,
--- a/standins/src/fleet/setup.rs
+++ b/standins/src/fleet/setup.rs
@@ -325,6 +325,7 @@
             address,
             peer_address: None,
             operator_address: None,
+            capacity: 0,
             service: plan.service.clone(),
             version: plan.version.clone(),
         };
@@ -539,6 +540,7 @@
             address: router.callers,
             peer_address: Some(router.peer_relay.address()),
             operator_address: Some(router.operators),
+            capacity: 0,
             service: String::new(),
             version: String::new(),
         }
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -331,6 +331,7 @@
             address: ([10, 0, 0, number as u8], 80).into(),
             peer_address: None,
             operator_address: None,
+            capacity: 0,
             service: String::new(),
             version: String::new(),
         };
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -190,6 +190,7 @@
             address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
             peer_address: None,
             operator_address: None,
+            capacity: 0,
             service: String::new(),
             version: String::new(),
         };
