Log without blocking, bound lines by kind, and explain a request from logs

Lines go through a bounded buffer to a thread; what does not fit is counted. Successes have a smaller quota than failures, warnings none. magnolia-ctl explain joins the lines of several routers. Gauges tell the catalog in force, the upstreams and whether the store answers; class labels are kinds of requests, since names of routes are unbounded.

--- a/src/bin/magnolia-ctl.rs
+++ b/src/bin/magnolia-ctl.rs
@@ -7,7 +7,7 @@
     magnoliahaven::{
         Declaration, TimerService,
         config::{diff_documents, hash_key},
-        ctl::{CtlClient, CtlFault, MoveRequest},
+        ctl::{CtlClient, CtlFault, MoveRequest, RequestStory},
         ports::{VmRole, VmState},
         runtime::block_on,
     },
@@ -94,6 +94,14 @@
     Vms,
     /// Tell the router on a VM to leave.
     Leave { vm: String },
+    /// Tell what the logs of routers say of one request.
+    Explain {
+        /// Identity of the request.
+        id: String,
+        /// Log files of the routers.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Print the form of a key for a declaration. Reads the key from
     /// standard input, so that it does not show in the list of processes.
     HashKey,
@@ -165,6 +173,39 @@
     })
 }
 
+/// Prints what log files say of a request.
+fn explain(id: &str, logs: &[PathBuf]) -> ExitCode {
+    let mut text = String::new();
+    for file in logs {
+        match std::fs::read_to_string(file) {
+            Ok(log) => text.push_str(&log),
+            Err(err) => {
+                eprintln!("{}: {err}", file.display());
+                return ExitCode::from(EXIT_INPUT);
+            }
+        }
+    }
+    let story = RequestStory::new(id, text.lines());
+    let Some(first) = story.own.first() else {
+        eprintln!("no line names request {id}");
+        return ExitCode::from(EXIT_REFUSED);
+    };
+    for (title, lines) in [("request", &story.own), ("near", &story.context)] {
+        println!("{title}:");
+        for line in lines {
+            let at = line.time_ms as i64 - first.time_ms as i64;
+            println!("  {at:+6} ms  {}  {}", line.vm, line.message);
+            println!("             {}", line.fields);
+        }
+    }
+    println!("outcome: {}", story.outcome().unwrap_or("not logged"));
+    println!("cause: {}", story.cause().unwrap_or("none logged"));
+    if story.unreadable > 0 {
+        println!("{} lines could not be read", story.unreadable);
+    }
+    ExitCode::SUCCESS
+}
+
 async fn run(options: &Options) -> Result<ExitCode, CtlFault> {
     let client = CtlClient::new(options.log, options.partitions);
     let who = options.who.as_str();
@@ -211,6 +252,7 @@
             client.leave(vm).await?;
             println!("{vm} leaves");
         }
+        Command::Explain { id, logs } => return Ok(explain(id, logs)),
         Command::HashKey => {
             let mut key = String::new();
             if std::io::stdin().read_line(&mut key).is_err() {
--- a/src/bin/magnolia-router.rs
+++ b/src/bin/magnolia-router.rs
@@ -5,8 +5,10 @@
 use {
     clap::Parser,
     magnoliahaven::{
-        RouterSettings, router::RouterProcess, runtime::block_on,
-        telemetry::init_logging,
+        RouterSettings,
+        router::RouterProcess,
+        runtime::block_on,
+        telemetry::{flush_logging, init_logging},
     },
 };
 
@@ -55,7 +57,9 @@
         return ExitCode::SUCCESS;
     }
     init_logging(&settings.vm);
-    run(settings)
+    let code = run(settings);
+    flush_logging();
+    code
 }
 
 fn run(settings: RouterSettings) -> ExitCode {
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// The name of the kind in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CallKind::Repeatable => "repeatable",
+            CallKind::Once => "once",
+            CallKind::Stream { resumable: true } => "resumable_stream",
+            CallKind::Stream { resumable: false } => "stream",
+        }
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, CallKind::Stream { .. })
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -5,10 +5,12 @@
 
 mod board;
 mod client;
+mod explain;
 mod report;
 
 pub use self::{
     board::{BoardView, run_board},
     client::{CtlClient, CtlFault, MoveRequest, PublishedChange},
+    explain::{RequestStory, StoryLine},
     report::{BudgetRow, RouterRow},
 };
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -177,6 +177,7 @@
             catalog = version, routes = catalog.route_count();
             "catalog in force"
         );
+        self.metrics.catalog_version.set(version as i64);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         let known = KnownState { control_next: 0, list_version: 0 };
         self.members.set_known(known);
@@ -210,6 +211,8 @@
             });
         }
         drop(roster);
+        self.metrics.upstreams.set(views.len() as i64);
+        self.metrics.entry_vms.set(self.directory.entry_count() as i64);
         self.table.update(&views);
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -129,7 +129,8 @@
     let took = request.arrived.elapsed();
     let (outcome, keeps) = match end {
         CallEnd::Answered(status) => {
-            core.metrics.note_duration(account, &request.service, took);
+            let kind = request.route.kind.name();
+            core.metrics.note_duration(account, kind, took);
             (status.as_str().to_owned(), true)
         }
         CallEnd::CallerGone => ("caller_gone".to_owned(), false),
@@ -477,7 +478,8 @@
                 self.progress.answered_at.set(took);
             }
             let metrics = &self.core.metrics;
-            metrics.note_first_token(account, &request.route.name, took);
+            let kind = request.route.kind.name();
+            metrics.note_first_token(account, kind, took);
         }
         if !responder.has_begun()
             && begin(responder, status, headers).await.is_err()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -83,6 +83,8 @@
         if changed {
             core.refresh_upstreams();
         }
+        let reachable = core.keeper.is_healthy();
+        core.metrics.store_reachable.set(i64::from(reachable));
         core.timer.sleep(UPSTREAM_PERIOD).await;
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -33,6 +33,14 @@
     pub held_bytes: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// Version of the catalog in force.
+    pub catalog_version: IntGauge,
+    /// Upstreams in use.
+    pub upstreams: IntGauge,
+    /// Routers on the list of entry VMs.
+    pub entry_vms: IntGauge,
+    /// Whether the store of prepaid tokens answers.
+    pub store_reachable: IntGauge,
 }
 
 impl RouterMetrics {
@@ -96,6 +104,19 @@
                 "magnolia_connections",
                 "Open connections of callers.",
             ),
+            catalog_version: gauge(
+                "magnolia_catalog_version",
+                "Version of the catalog in force; 0 before the first one.",
+            ),
+            upstreams: gauge("magnolia_upstreams", "Upstreams in use."),
+            entry_vms: gauge(
+                "magnolia_entry_vms",
+                "Routers on the list of entry VMs.",
+            ),
+            store_reachable: gauge(
+                "magnolia_store_reachable",
+                "1 while the store of prepaid tokens answers.",
+            ),
         };
         metrics.register();
         metrics
@@ -111,6 +132,10 @@
             Box::new(self.events.clone()),
             Box::new(self.held_bytes.clone()),
             Box::new(self.connections.clone()),
+            Box::new(self.catalog_version.clone()),
+            Box::new(self.upstreams.clone()),
+            Box::new(self.entry_vms.clone()),
+            Box::new(self.store_reachable.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
--- /dev/null
+++ b/tests/logging.rs
@@ -0,0 +1,101 @@
+//! Log lines: never in the way of a request, and enough to explain one.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use magnoliahaven::{ctl::RequestStory, telemetry::LogPipe};
+
+/// An output whose reader has stopped reading.
+struct StuckOutput;
+
+impl Write for StuckOutput {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        thread::sleep(Duration::from_secs(3_600));
+        Ok(0)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stops_reading_blocks_nobody() {
+    let mut pipe = LogPipe::new(StuckOutput);
+    let line = [b'x'; 200];
+    let started = Instant::now();
+    for _ in 0..20_000 {
+        pipe.write_all(&line).unwrap();
+    }
+    assert!(started.elapsed() < Duration::from_secs(1));
+    // 4 MB were offered and half a megabyte may wait, twice.
+    assert!(pipe.dropped() > 14_000, "{} dropped", pipe.dropped());
+    assert!(!pipe.drain(Duration::from_millis(20)));
+}
+
+#[derive(Clone, Default)]
+struct CountedOutput {
+    bytes: Arc<AtomicUsize>,
+}
+
+impl Write for CountedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn what_waits_is_written_at_the_end() {
+    let output = CountedOutput::default();
+    let mut pipe = LogPipe::new(output.clone());
+    for _ in 0..100 {
+        pipe.write_all(b"0123456789").unwrap();
+    }
+    assert!(pipe.drain(Duration::from_secs(5)));
+    assert_eq!(output.bytes.load(Ordering::Relaxed), 1_000);
+}
+
+/// Lines of two routers about three requests, as routers write them.
+const RECORDED: &str = r#"
+{"time_ms":1000,"vm":"vm-1","message":"dependency lost","dependency":"allowance topic"}
+{"time_ms":1500,"vm":"vm-1","message":"attempt failed: connection lost","request_id":"a","upstream":"w-1","sends":1}
+{"time_ms":1400,"vm":"vm-1","message":"upstream ejected","upstream":"w-1","cause":"Lost"}
+{"time_ms":1400,"vm":"vm-1","message":"upstream ejected","upstream":"w-7","cause":"Lost"}
+{"time_ms":1600,"vm":"vm-1","message":"request failed: the upstream failed: connection lost","request_id":"a","kind":"outcome_unknown"}
+{"time_ms":1601,"vm":"vm-1","message":"request ended","request_id":"a","upstream":"w-1","account":"dairy","outcome":"outcome_unknown"}
+{"time_ms":1700,"vm":"vm-2","message":"request failed: 20 tokens of dairy did not arrive in time","request_id":"b"}
+{"time_ms":1701,"vm":"vm-2","message":"request ended","request_id":"b","account":"dairy","outcome":"budget_unavailable"}
+not a line
+{"time_ms":9000,"vm":"vm-1","message":"request ended","request_id":"c","outcome":"200"}
+"#;
+
+#[test]
+fn the_logs_of_several_routers_tell_the_story_of_a_request() {
+    let story = RequestStory::new("a", RECORDED.lines());
+    assert_eq!(story.outcome(), Some("outcome_unknown"));
+    let cause = "request failed: the upstream failed: connection lost";
+    assert_eq!(story.cause(), Some(cause));
+    let near: Vec<&str> =
+        story.context.iter().map(|line| line.message.as_str()).collect();
+    // The other upstream has nothing to do with the request.
+    assert_eq!(near, ["dependency lost", "upstream ejected"]);
+    assert_eq!(story.unreadable, 1);
+    let story = RequestStory::new("b", RECORDED.lines());
+    assert_eq!(story.outcome(), Some("budget_unavailable"));
+    assert!(story.context.is_empty());
+    let story = RequestStory::new("c", RECORDED.lines());
+    assert_eq!(story.cause(), None);
+    assert!(RequestStory::new("d", RECORDED.lines()).own.is_empty());
+}
