Move services to other versions on operators' orders

A target gets 6 in 100 requests until three quarters of its time are over; each router judges it by its own requests, stops at once, tells its peers, and whoever decides first writes the status under the end of the topic.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -145,6 +145,7 @@
     let request = AdmitRequest {
         service: "assistant",
         version: Some("v1"),
+        avoided: None,
         rank: CallClass::Check.priority(),
         is_draft: false,
         account: "dairy",
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -281,9 +281,11 @@
     fn unavailable(&self, account: &str, tokens: u64) -> CallError {
         let AllowanceView { free, held, lost, available } = self.view(account);
         let reachable = self.healthy.get();
+        let prepaid = self.prepaid.borrow().get(account).copied();
+        let prepaid = prepaid.unwrap_or(0);
         let message = format!(
-            "{tokens} tokens of {account} did not arrive in time: {free} \
-             free, {held} held, {lost} lost, {available} here, store \
+            "{tokens} tokens of {account} did not arrive in time: of \
+             {prepaid} {free} free, {held} held, {lost} lost, {available} here, store \
              reachable: {reachable}"
         );
         let error = CallError::new(ErrorKind::BudgetUnavailable, message);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -144,6 +144,14 @@
     /// Notes what the request came to, for the upstream's health.
     pub(super) fn note(&self, outcome: UpstreamOutcome) {
         let upstream = self.slot.upstream();
+        let is_answer = matches!(outcome, UpstreamOutcome::Answered { .. });
+        self.core.note_evidence(
+            &upstream.service,
+            &upstream.version,
+            &self.request.route.name,
+            !is_answer,
+            is_answer.then(|| self.sent_at.elapsed()),
+        );
         match self.slot.note_outcome(outcome) {
             Some(HealthChange::Ejected(time)) => {
                 self.core.metrics.note_event("upstream_ejected");
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use super::{CallRequest, GatewayFront, LatencyBook, LeavePlan};
+use super::{
+    CallRequest, GatewayFront, LatencyBook, LeavePlan, moves::ServiceMoves,
+};
 use crate::{
     allowance::AllowanceKeeper,
     catalog::RouteCatalog,
@@ -16,7 +18,7 @@
     error::{CallError, ErrorKind},
     membership::{MemberTable, UpstreamRoster, VmDirectory},
     ports::{
-        CatalogPort, ForwardPort, KeyedPort, KnownState, PeerPort,
+        CatalogPort, ForwardPort, KeyedPort, KnownState, MovePort, PeerPort,
         UpstreamListPort, VmListPort,
     },
     routing::{RetryBudget, UpstreamTable, UpstreamView},
@@ -59,6 +61,8 @@
     pub upstream_list: Rc<dyn UpstreamListPort>,
     /// The list of entry VMs.
     pub vm_list: Rc<dyn VmListPort>,
+    /// The status of version moves.
+    pub moves: Rc<dyn MovePort>,
     /// The upstreams.
     pub upstreams: Rc<dyn ForwardPort>,
     /// The other routers.
@@ -94,6 +98,7 @@
     /// Until when callers are better served by other routers.
     pub(super) starved_until: Cell<Option<Instant>>,
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
+    pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
     pub(super) latencies: RefCell<LatencyBook>,
     pub(super) retries: RefCell<BTreeMap<String, RetryBudget>>,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -266,9 +266,12 @@
             objective: request.route.objective,
             domain: self.core.settings.domain.clone(),
         };
+        let service = &request.service;
+        let choice = self.core.version_choice(service, &request.id);
         let admit = AdmitRequest {
-            service: &request.service,
-            version: None,
+            service,
+            version: choice.only.as_deref(),
+            avoided: choice.avoided.as_deref(),
             rank: request.rank,
             is_draft: false,
             account: request.account_name(),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -50,9 +50,12 @@
     loop {
         let next = core.ports.catalog.next().await;
         match next {
-            Ok(catalog) => {
+            Ok(news) => {
                 dependency.note_answer();
-                if let Some(catalog) = catalog {
+                for order in news.orders {
+                    core.take_order(order);
+                }
+                if let Some(catalog) = news.catalog {
                     core.take_catalog(catalog);
                     core.refresh_upstreams();
                 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! * `callers` and `entry` run the listeners.
 //! * `follow` keeps catalog and upstreams up to date.
 //! * [`LeavePlan`] tells what a gateway that leaves still takes.
+//! * [`ServiceMove`] moves a service to another version.
 //! * `peers` answers other routers.
 //! * [`GatewayProcess`] takes the process through its life.
 
@@ -25,6 +26,7 @@
 mod entry;
 mod follow;
 mod leave;
+mod moves;
 mod patience;
 mod peers;
 mod process;
@@ -35,6 +37,7 @@
     core::{GatewayCore, GatewayPorts},
     entry::EntryQuery,
     leave::LeavePlan,
+    moves::{ServiceMove, VersionChoice},
     patience::{LatencyBook, expected_time},
     process::{GatewayProcess, Leaving, Serving, Starting},
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -43,10 +43,13 @@
             let reply = LendReply { portion, tokens };
             PeerAnswer::Lent((tokens > 0).then_some(reply))
         }
+        PeerCall::Evidence(report) => {
+            core.take_trip(&report);
+            PeerAnswer::Done
+        }
         // Gateways share neither notes on bills nor control records.
-        PeerCall::Relay(_)
-        | PeerCall::CatchUp(_)
-        | PeerCall::Evidence(_)
-        | PeerCall::Claim(_) => PeerAnswer::Done,
+        PeerCall::Relay(_) | PeerCall::CatchUp(_) | PeerCall::Claim(_) => {
+            PeerAnswer::Done
+        }
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -16,7 +16,7 @@
 use super::{
     GatewayCore, GatewayPorts, LatencyBook, callers,
     entry::{self, ListenerRole},
-    follow, peers,
+    follow, moves, peers,
 };
 use crate::{
     adapters::peer::{InboundCall, PeerLink, ProcessSignal},
@@ -95,6 +95,7 @@
         monoio::spawn(follow::run_catalog(core.clone()));
         monoio::spawn(follow::run_upstreams(core.clone()));
         monoio::spawn(follow::run_vm_list(core.clone()));
+        monoio::spawn(moves::run_moves(core.clone()));
         monoio::spawn(core.keeper.clone().run());
         monoio::spawn(core.keeper.clone().run_loans());
         let members = core.members.clone();
@@ -221,6 +222,7 @@
         in_progress: Cell::new(0),
         starved_until: Cell::new(None),
         catalog: RefCell::new(None),
+        moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         latencies: RefCell::new(LatencyBook::new()),
         retries: RefCell::default(),
--- a/src/ports/declared.rs
+++ b/src/ports/declared.rs
@@ -2,20 +2,28 @@
 
 use std::net::SocketAddr;
 
-use super::{KeyedFault, PortFuture};
+use super::{KeyedFault, MoveOrder, PortFuture};
 use crate::catalog::RouteCatalog;
 
+/// What operators have declared since the last call.
+#[derive(Clone, Debug, Default)]
+pub struct DeclaredNews {
+    /// A catalog, if a new one was declared.
+    pub catalog: Option<RouteCatalog>,
+    /// Orders to move services to other versions.
+    pub orders: Vec<MoveOrder>,
+}
+
 /// The operators' declarations.
 pub trait CatalogPort {
-    /// Waits for a catalog that is newer than the last one returned.
+    /// Waits for news.
     ///
-    /// Returns `None` if none came within the wait of one call.
+    /// Returns nothing new if none came within the wait of one call.
     ///
     /// # Errors
     ///
     /// The last known catalog stays in force.
-    fn next(&self)
-    -> PortFuture<'_, Result<Option<RouteCatalog>, KeyedFault>>;
+    fn next(&self) -> PortFuture<'_, Result<DeclaredNews, KeyedFault>>;
 }
 
 /// An upstream as it describes itself.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -6,6 +6,7 @@
 //! * [`LogPort`]: the platform's append-only log.
 //! * [`KeyedPort`]: topics that keep the newest record of each key.
 //! * [`CatalogPort`], [`UpstreamListPort`]: declarations and registrations.
+//! * [`MovePort`]: the status of version moves.
 //! * [`ForwardPort`]: upstreams that take requests as they came.
 //! * [`VmListPort`]: the platform's lagging list of VMs.
 //! * [`UpstreamPort`]: model engines and plain services.
@@ -18,6 +19,7 @@
 mod forward;
 mod keyed;
 mod log;
+mod moves;
 mod peer;
 mod upstream;
 mod vm_list;
@@ -25,12 +27,16 @@
 use std::{future::Future, pin::Pin};
 
 pub use self::{
-    declared::{CatalogPort, UpstreamEntry, UpstreamListPort, UpstreamNews},
+    declared::{
+        CatalogPort, DeclaredNews, UpstreamEntry, UpstreamListPort,
+        UpstreamNews,
+    },
     forward::{
         ForwardCall, ForwardLink, ForwardPort, ForwardReply, ForwardVerdict,
     },
     keyed::{KeyedFault, KeyedPort, KeyedRecord, KeyedSlice},
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
+    moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
         ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
         LendRequest, MemberNews, MemberStatus, NewerState, PeerAnswer,
--- a/src/router/chat/dispatch.rs
+++ b/src/router/chat/dispatch.rs
@@ -190,6 +190,7 @@
         let request = AdmitRequest {
             service: &chat.service,
             version: Some(&version),
+            avoided: None,
             rank: class.priority(),
             is_draft: class == CallClass::Draft,
             account: chat.identity.budget.account(),
--- a/src/router/service_call.rs
+++ b/src/router/service_call.rs
@@ -286,6 +286,7 @@
         let request = AdmitRequest {
             service: &call.service,
             version: Some(&version),
+            avoided: None,
             rank: class.priority(),
             is_draft: class == CallClass::Draft,
             account: call.identity.budget.account(),
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -18,6 +18,8 @@
     pub account: String,
     /// The version that shall serve it; `None` for any.
     pub version: Option<String>,
+    /// A version that shall not serve it.
+    pub avoided: Option<String>,
     /// Upstreams that have failed for it.
     pub excluded: Vec<String>,
     /// Requests with the same text here like the same upstream.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -64,6 +64,8 @@
     pub service: &'a str,
     /// The version that shall serve the request; `None` for any.
     pub version: Option<&'a str>,
+    /// A version that shall not serve the request.
+    pub avoided: Option<&'a str>,
     /// How urgent it is, 0 first.
     pub rank: u8,
     /// Whether it may only use the part of the slots open to drafts.
@@ -101,6 +103,7 @@
         !self.removed
             && self.view.service == service
             && call.version.as_ref().is_none_or(|v| *v == self.view.version)
+            && call.avoided.as_ref() != Some(&self.view.version)
             && !call.excluded.contains(&self.view.vm)
     }
 
@@ -357,6 +360,7 @@
             is_draft: self.is_draft,
             account: self.account.to_owned(),
             version: self.version.map(str::to_owned),
+            avoided: self.avoided.map(str::to_owned),
             excluded: self.excluded.to_vec(),
             affinity: self.affinity.to_owned(),
             hint: self.hint.clone(),
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -11,9 +11,12 @@
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
         },
         entry::{EntryHealth, pick_entries},
-        gateway::LeavePlan,
+        gateway::{LeavePlan, ServiceMove},
         membership::{UpstreamRoster, rendezvous_weight},
-        ports::{UpstreamEntry, UpstreamNews, VmEntry, VmRole, VmState},
+        ports::{
+            MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews, VmEntry,
+            VmRole, VmState,
+        },
         routing::{
             AffinityBook, HealthChange, PlacementCandidate, PlacementHint,
             RetryBudget, UpstreamHealth, UpstreamOutcome, placement_rank,
@@ -369,3 +372,70 @@
     assert_eq!(picks, listed);
     assert_ne!(rendezvous_weight("a", "b"), rendezvous_weight("b", "a"));
 }
+
+fn order(seconds: u64) -> MoveOrder {
+    MoveOrder {
+        service: "chat".to_owned(),
+        target: "v2".to_owned(),
+        duration: Duration::from_secs(seconds),
+        number: 7,
+    }
+}
+
+/// Load pattern of a move: 3,000 requests in 12 s, of which the new version
+/// fails half after its third second. It gets less than a tenth, and nothing
+/// soon after its fault shows.
+#[test]
+fn a_version_that_turns_bad_is_taken_back_with_little_traffic() {
+    let start = Instant::now();
+    let mut random = SmallRng::seed_from_u64(20_261_204);
+    let mut known = ServiceMove::new(order(12), start);
+    let (mut to_new, mut bad, mut after) = (0, 0, 0);
+    for number in 0..3_000_u64 {
+        let now = start + Duration::from_millis(number * 4);
+        let choice = known.choice(&format!("request-{number}"));
+        let is_new = choice.only.is_some();
+        let version = if is_new { "v2" } else { "v1" };
+        let turned = number > 750;
+        let failed = is_new && turned && random.random_bool(0.5);
+        to_new += u32::from(is_new);
+        bad += u32::from(failed);
+        after += u32::from(is_new && bad > 50);
+        known.note(version, "route", failed, Some(80_000));
+        if let Some(status) = known.decide(true, now) {
+            assert_eq!(status, MoveStatus::RolledBack);
+            known.take_status(status);
+        }
+    }
+    assert!(to_new < 300, "{to_new} of 3,000 requests");
+    assert_eq!(after, 0);
+    // A decision is final.
+    assert!(!known.take_status(MoveStatus::Completed));
+    assert_eq!(known.choice("any").avoided.as_deref(), Some("v2"));
+}
+
+#[test]
+fn a_sound_version_takes_over_before_its_time_is_up() {
+    let start = Instant::now();
+    let mut known = ServiceMove::new(order(12), start);
+    for number in 0..600_u64 {
+        let choice = known.choice(&format!("request-{number}"));
+        let version = if choice.only.is_some() { "v2" } else { "v1" };
+        known.note(version, "route", false, Some(80_000));
+    }
+    let early = start + Duration::from_secs(8);
+    assert_eq!(known.decide(true, early), None);
+    let due = start + Duration::from_millis(9_100);
+    // Another gateway whose turn it is not waits a little longer.
+    assert_eq!(known.decide(false, due), None);
+    assert_eq!(known.decide(true, due), Some(MoveStatus::Completed));
+    assert!(known.take_status(MoveStatus::Completed));
+    assert_eq!(known.choice("any").only.as_deref(), Some("v2"));
+}
+
+#[test]
+fn a_version_that_nobody_has_tried_is_not_called_sound() {
+    let start = Instant::now();
+    let known = ServiceMove::new(order(12), start);
+    assert_eq!(known.decide(true, start + Duration::from_secs(11)), None);
+}
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -171,6 +171,7 @@
         is_draft: class == CallClass::Draft,
         account: account.to_string(),
         version: Some("v1".to_owned()),
+        avoided: None,
         excluded: Vec::new(),
         affinity: String::new(),
         hint: PlacementHint::default(),
