--- /dev/null
+++ b/src/adapters/http/accept.rs
@@ -0,0 +1,50 @@
+//! Accepting connections.
+
+use std::{rc::Rc, time::Duration};
+
+use {
+    monoio::net::{TcpListener, TcpStream},
+    tokio::sync::Notify,
+};
+
+use super::HttpFault;
+use crate::error::{CallError, ErrorKind};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until `stop` is notified.
+pub async fn accept_until(
+    listener: TcpListener,
+    stop: Rc<Notify>,
+    mut take: impl FnMut(TcpStream),
+) {
+    loop {
+        let accepted = monoio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.notified() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => take(stream),
+            Err(err) => {
+                log::warn!("accept failed: {err}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The error that tells a caller about a message that is no valid request;
+/// `None` if nobody is there to be told.
+pub fn message_error(fault: &HttpFault) -> Option<CallError> {
+    let kind = match fault {
+        HttpFault::Closed
+        | HttpFault::Truncated
+        | HttpFault::Socket { .. } => return None,
+        HttpFault::TimedOut => ErrorKind::RequestTimeout,
+        HttpFault::HeadTooLarge { .. } => ErrorKind::HeadTooLarge,
+        HttpFault::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
+        HttpFault::Malformed { .. } => ErrorKind::BadRequest,
+    };
+    Some(CallError::new(kind, fault.to_string()))
+}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -6,12 +6,14 @@
 //! body lengths, and a flush after every event of a stream. See
 //! `docs/design/http.md` for the measurements behind the split.
 
+mod accept;
 mod client;
 mod connection;
 mod encode;
 mod server;
 
 pub use self::{
+    accept::{accept_until, message_error},
     client::{HttpClient, HttpReply, ReplyBody},
     connection::{HttpConnection, HttpFault, MessageLimits},
     encode::{json_response, text_response},
--- a/src/adapters/upstream.rs
+++ b/src/adapters/upstream.rs
@@ -73,10 +73,18 @@
     connection: HttpConnection,
 }
 
-struct OpenParts {
+/// The body of an answer, pulled part by part.
+pub struct ReplyParts {
     body: ReplyBody,
 }
 
+impl ReplyParts {
+    /// Creates the parts of a body that has not been read.
+    pub fn new(body: ReplyBody) -> ReplyParts {
+        ReplyParts { body }
+    }
+}
+
 impl From<HttpFault> for UpstreamFault {
     fn from(fault: HttpFault) -> UpstreamFault {
         match fault {
@@ -161,7 +169,7 @@
         bill: header_text(&reply.headers, BILL_HEADER),
         prior_tokens: prior.and_then(|p| p.parse().ok()).unwrap_or(0),
         load: load.and_then(|load| load.parse().ok()),
-        parts: Box::new(OpenParts { body: reply.body }),
+        parts: Box::new(ReplyParts::new(reply.body)),
     }
 }
 
@@ -170,7 +178,7 @@
     Some(value.to_str().ok()?.to_owned())
 }
 
-impl UpstreamParts for OpenParts {
+impl UpstreamParts for ReplyParts {
     fn next_part(
         &mut self,
         deadline: Instant,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use {
     monoio::net::{TcpListener, TcpStream},
@@ -10,38 +10,24 @@
 use super::{GatewayCore, dispatch};
 use crate::{
     adapters::http::{
-        HttpConnection, HttpFault, HttpResponder, MessageLimits,
+        HttpConnection, HttpFault, HttpResponder, MessageLimits, accept_until,
+        message_error,
     },
     catalog::CallerLimits,
-    error::{CallError, ErrorKind},
+    error::CallError,
 };
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers until `stop` is notified.
 pub(super) async fn run_listener(
     core: Rc<GatewayCore>,
     listener: TcpListener,
     stop: Rc<Notify>,
 ) {
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.notified() => return,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("accept failed: {err}");
-                core.timer.sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let take = |stream| {
         let open = core.metrics.connections.get() as usize;
         if open >= core.settings.limits.connections {
             core.metrics.note_event("connection_refused");
-            continue;
+            return;
         }
         let core = core.clone();
         monoio::spawn(async move {
@@ -49,7 +35,8 @@
             serve_connection(&core, stream).await;
             core.metrics.connections.dec();
         });
-    }
+    };
+    accept_until(listener, stop, take).await;
 }
 
 /// Bounds from the catalog, or from the settings before one is known.
@@ -125,16 +112,9 @@
     responder: &mut HttpResponder,
     fault: &HttpFault,
 ) {
-    let kind = match fault {
-        HttpFault::Closed
-        | HttpFault::Truncated
-        | HttpFault::Socket { .. } => return,
-        HttpFault::TimedOut => ErrorKind::RequestTimeout,
-        HttpFault::HeadTooLarge { .. } => ErrorKind::HeadTooLarge,
-        HttpFault::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
-        HttpFault::Malformed { .. } => ErrorKind::BadRequest,
+    let Some(error) = message_error(fault) else {
+        return;
     };
-    let error = CallError::new(kind, fault.to_string());
     responder.reset(true);
     // The caller may be gone, and the connection ends in any case.
     let _ = refuse(core, responder, &error).await;
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -2,12 +2,16 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use monoio::net::{TcpListener, TcpStream};
+use {
+    monoio::net::{TcpListener, TcpStream},
+    tokio::sync::Notify,
+};
 
 use super::GatewayCore;
 use crate::{
     adapters::http::{
-        HttpConnection, HttpRequest, MessageLimits, text_response,
+        HttpConnection, HttpRequest, MessageLimits, accept_until,
+        text_response,
     },
     entry::{EntryHealth, pick_entries, pick_width},
 };
@@ -15,9 +19,6 @@
 /// Longest time for which an idle connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Most addresses in an answer.
 const LARGEST_ANSWER: usize = 64;
 
@@ -47,13 +48,12 @@
     listener: TcpListener,
     role: ListenerRole,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            core.timer.sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    // These listeners end with the process.
+    let stop = Rc::new(Notify::new());
+    let take = |stream| {
         monoio::spawn(serve_connection(core.clone(), stream, role));
-    }
+    };
+    accept_until(listener, stop, take).await;
 }
 
 async fn serve_connection(
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,7 +7,7 @@
     http::{HeaderMap, Method, Response},
 };
 
-use super::{EntryQuery, GatewayCore};
+use super::GatewayCore;
 use crate::{
     adapters::http::HttpRequest,
     catalog::{AccountSpec, RouteSpec},
@@ -136,9 +136,6 @@
         request: &HttpRequest,
     ) -> Response<Bytes>;
 
-    /// Understands who asks where to connect; `None` for another request.
-    fn decode_entry(&self, request: &HttpRequest) -> Option<EntryQuery>;
-
     /// The answer to a check of readiness.
     fn readiness_answer(
         &self,
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use {
     http::Method,
@@ -13,7 +13,7 @@
 use crate::{
     adapters::http::{
         HttpConnection, HttpFault, HttpRequest, HttpResponder, MessageLimits,
-        RequestReader, json_response,
+        RequestReader, accept_until, json_response, message_error,
     },
     entry::{EntryAnswer, EntryHealth, rank_entries},
     error::{CallError, ErrorKind},
@@ -35,23 +35,11 @@
     listener: TcpListener,
     stop: Rc<Notify>,
 ) {
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.notified() => return,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("accept failed: {err}");
-                core.timer.sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+    let take = |stream| {
         let open = core.metrics.connections.get() as usize;
         if open >= core.settings.limits.connections {
             core.metrics.note_event("connection_refused");
-            continue;
+            return;
         }
         let core = core.clone();
         monoio::spawn(async move {
@@ -59,7 +47,8 @@
             serve_connection(&core, stream).await;
             core.metrics.connections.dec();
         });
-    }
+    };
+    accept_until(listener, stop, take).await;
 }
 
 /// Serves the requests of one connection, one after another.
@@ -101,17 +90,10 @@
     responder: &mut HttpResponder,
     fault: &HttpFault,
 ) {
-    let kind = match fault {
-        HttpFault::Closed
-        | HttpFault::Truncated
-        | HttpFault::Socket { .. } => return,
-        HttpFault::TimedOut => ErrorKind::RequestTimeout,
-        HttpFault::HeadTooLarge { .. } => ErrorKind::HeadTooLarge,
-        HttpFault::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
-        HttpFault::Malformed { .. } => ErrorKind::BadRequest,
+    let Some(error) = message_error(fault) else {
+        return;
     };
-    let error = CallError::new(kind, fault.to_string());
-    core.metrics.note_answer("", kind.code());
+    core.metrics.note_answer("", error.kind.code());
     // The caller may be gone, and the connection ends in any case.
     let _ = responder.send_last(error_response(&error)).await;
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,7 +1,13 @@
 //! Starting the runtime of the data path.
 
+mod launch;
+
 use std::{future::Future, io, time::Duration};
 
+pub use self::launch::{
+    EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
+};
+
 /// Runs a future to its end on the legacy driver.
 ///
 /// The driver is named explicitly, because the default one of the runtime
