--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -32,8 +32,11 @@
     pub(super) request: &'a Rc<CallRequest>,
     pub(super) slot: UpstreamSlot,
     pub(super) resume_after: Option<u64>,
-    /// Whether the request may be taken away from a silent upstream.
-    pub(super) may_move: bool,
+    /// Whether the request may be sent to another upstream.
+    pub(super) may_repeat: bool,
+    /// Whether the request was taken away from a silent upstream; the retry
+    /// is paid for then.
+    pub(super) has_moved: bool,
     /// When the request left.
     pub(super) sent_at: Instant,
     patience: Duration,
@@ -52,7 +55,8 @@
             request,
             slot,
             resume_after: request.resume_after,
-            may_move: false,
+            may_repeat: false,
+            has_moved: false,
             sent_at: Instant::now(),
             patience: core.patience(request),
             was_silent: false,
@@ -91,7 +95,7 @@
                 Ok(sent) => sent,
                 Err(_) => {
                     self.note_silence();
-                    if self.may_move {
+                    if self.try_move() {
                         return AttemptStart::Silent;
                     }
                     send.await
@@ -111,6 +115,16 @@
         AttemptStart::Answering(reply)
     }
 
+    /// Takes the request away from a silent upstream if a retry is left.
+    ///
+    /// Otherwise the upstream is waited for: its silence alone is no reason
+    /// to end an answer.
+    pub(super) fn try_move(&mut self) -> bool {
+        let service = &self.request.service;
+        self.has_moved = self.may_repeat && self.core.try_retry(service);
+        self.has_moved
+    }
+
     /// Time left until the upstream counts as silent.
     pub(super) fn patience_left(&self) -> Duration {
         self.patience.saturating_sub(self.sent_at.elapsed())
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -221,16 +221,19 @@
         self.table.update(&views);
     }
 
+    /// Drops an upstream whose address turned out to be another one's.
+    pub(super) fn drop_misplaced(&self, upstream: &str) {
+        if self.roster.borrow_mut().drop_misplaced(upstream) {
+            log::info!(upstream; "upstream is not at its address any more");
+            self.refresh_upstreams();
+        }
+    }
+
     /// Notes the first attempt of a request.
     pub(super) fn note_request(&self, service: &str) {
         self.with_retries(service, RetryBudget::note_request);
     }
 
-    /// Whether the fleet's budget lets this router send a request again.
-    pub(super) fn has_retry(&self, service: &str) -> bool {
-        self.with_retries(service, |budget| budget.has_credit())
-    }
-
     /// Takes a retry out of this router's part of the fleet's budget.
     pub(super) fn try_retry(&self, service: &str) -> bool {
         self.with_retries(service, RetryBudget::try_spend)
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -306,9 +306,8 @@
         let mut attempt = CallAttempt::new(core, request, slot);
         attempt.resume_after = self.position.last_event;
         // One attempt is under way; another one has to be left after it.
-        attempt.may_move = request.route.kind.may_repeat()
-            && progress.sends.get() + 1 < request.route.attempts
-            && core.has_retry(&request.service);
+        attempt.may_repeat = request.route.kind.may_repeat()
+            && progress.sends.get() + 1 < request.route.attempts;
         let ran_before = progress.may_have_run.get();
         let note_sent = || {
             progress.may_have_run.set(true);
@@ -333,6 +332,9 @@
                     progress.may_have_run.set(false);
                     hold.note_used(0);
                 }
+                if verdict == ForwardVerdict::WrongUpstream {
+                    core.drop_misplaced(&upstream);
+                }
                 self.excluded.push(upstream);
                 let kind = match verdict {
                     ForwardVerdict::Full => ErrorKind::Overloaded,
@@ -347,8 +349,7 @@
             }
             AttemptStart::Silent => {
                 self.log_attempt(&upstream, "no answer in time");
-                self.excluded.push(upstream);
-                self.lost(&UpstreamFault::TimedOut)
+                self.moved_on(upstream, &UpstreamFault::TimedOut)
             }
         }
     }
@@ -378,6 +379,17 @@
         NextStep::End(CallEnd::Failed(CallError::new(kind, message)))
     }
 
+    /// Goes on after a request was taken away from a silent upstream.
+    fn moved_on(
+        &mut self,
+        upstream: String,
+        fault: &UpstreamFault,
+    ) -> NextStep {
+        self.excluded.push(upstream);
+        self.failure = Some(lost_error(self.request, fault));
+        NextStep::TryAgain
+    }
+
     /// Goes on after a request that may have run without an answer.
     fn lost(&mut self, fault: &UpstreamFault) -> NextStep {
         let error = lost_error(self.request, fault);
@@ -469,6 +481,9 @@
                     attempt.note(UpstreamOutcome::Lost);
                 }
                 self.log_attempt(&upstream, &fault.to_string());
+                if attempt.has_moved {
+                    return self.moved_on(upstream, &fault);
+                }
                 self.excluded.push(upstream);
                 return self.lost(&fault);
             }
@@ -489,7 +504,15 @@
         {
             return NextStep::End(CallEnd::CallerGone);
         }
-        let end = relay.run(parts.as_mut(), responder, deadline).await;
+        attempt.may_repeat = self.may_run_again();
+        let mut end = relay.run(parts.as_mut(), responder, deadline).await;
+        if matches!(end, RelayEnd::Silent) {
+            attempt.note_silence();
+            if !attempt.try_move() {
+                relay.wait_on();
+                end = relay.run(parts.as_mut(), responder, deadline).await;
+            }
+        }
         self.position = relay.position();
         self.progress.events.set(self.position.events);
         drop(parts);
@@ -504,12 +527,12 @@
                 attempt.note(UpstreamOutcome::Lost);
                 fault
             }
-            RelayEnd::Silent => {
-                attempt.note_silence();
-                UpstreamFault::TimedOut
-            }
+            RelayEnd::Silent => UpstreamFault::TimedOut,
         };
         self.log_attempt(&upstream, &fault.to_string());
+        if attempt.has_moved {
+            return self.moved_on(upstream, &fault);
+        }
         self.excluded.push(upstream);
         self.lost(&fault)
     }
@@ -527,7 +550,7 @@
             event_tokens,
             ceiling.output,
         );
-        if self.may_run_again() && self.core.has_retry(&request.service) {
+        if self.may_run_again() {
             return relay.with_gap_objective(request.route.gap_objective);
         }
         relay
@@ -548,7 +571,7 @@
         return received;
     }
     attempt.note_silence();
-    if attempt.may_move {
+    if attempt.try_move() {
         return received;
     }
     relay.receive_first(parts, deadline).await
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -103,6 +103,11 @@
         self
     }
 
+    /// Waits for the upstream as long as the request has time.
+    pub(super) fn wait_on(&mut self) {
+        self.gap = None;
+    }
+
     /// What the caller has.
     pub(super) fn position(&self) -> StreamPosition {
         self.position
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -89,6 +89,7 @@
         }
         self.ages.insert(entry.id.clone(), age);
         let id = entry.id.clone();
+        self.drop_former(&entry);
         let fresh = RosterEntry { entry, doubted: None };
         let before = self.entries.insert(id.clone(), fresh);
         let before = before.map(|known| known.entry);
@@ -96,6 +97,21 @@
         !same_upstream(before.as_ref(), after)
     }
 
+    /// Drops entries of upstreams that had the address before.
+    fn drop_former(&mut self, entry: &UpstreamEntry) {
+        self.entries.retain(|id, known| {
+            let known = &known.entry;
+            let is_former = known.address == entry.address
+                && known.started_ms < entry.started_ms;
+            *id == entry.id || !is_former
+        });
+    }
+
+    /// Drops an entry whose address turned out to be another upstream's.
+    pub fn drop_misplaced(&mut self, id: &str) -> bool {
+        self.entries.remove(id).is_some()
+    }
+
     fn remove(&mut self, id: &str, now: Instant) -> bool {
         let Some(known) = self.entries.get_mut(id) else {
             return false;
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -138,6 +138,28 @@
     assert_eq!(roster.usable().count(), 0);
 }
 
+/// What was seen in an incident: four engines had crashed and come back at
+/// their addresses while the registry was out of reach. Their old entries,
+/// kept in doubt, took requests that the new ones refused.
+#[test]
+fn an_address_belongs_to_the_upstream_that_started_last() {
+    let start = Instant::now();
+    let mut roster = UpstreamRoster::new();
+    roster.note_answer(start);
+    roster.take(UpstreamNews::Listed(upstream("old", 1)), start);
+    roster.note_fault(start + Duration::from_secs(1));
+    let back = start + Duration::from_secs(13);
+    roster.note_answer(back);
+    roster.take(UpstreamNews::Removed("old".to_owned()), back);
+    let new = UpstreamEntry { started_ms: 5_000, ..upstream("new", 1) };
+    roster.take(UpstreamNews::Listed(new), back);
+    let left: Vec<&str> = roster.usable().map(|e| e.id.as_str()).collect();
+    assert_eq!(left, ["new"]);
+    // An entry is dropped as well when its address refuses it.
+    assert!(roster.drop_misplaced("new"));
+    assert_eq!(roster.usable().count(), 0);
+}
+
 /// Load pattern of a grey upstream: one of twelve hangs on 45 in 100 of its
 /// requests while its health check is good.
 #[test]
