Leave a silent upstream only for a slot that is taken already

Cause: a begun stream was taken away from a pausing engine and found no slot elsewhere, so it ended in the middle; the new test a_pause_alone_never_ends_a_stream failed on it twice. The slot is taken first; the test passes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -34,9 +34,11 @@
     pub(super) resume_after: Option<u64>,
     /// Whether the request may be sent to another upstream.
     pub(super) may_repeat: bool,
-    /// Whether the request was taken away from a silent upstream; the retry
-    /// is paid for then.
-    pub(super) has_moved: bool,
+    /// Upstreams that have failed for the request.
+    pub(super) excluded: Vec<String>,
+    /// The slot to which the request was taken away from a silent upstream;
+    /// the retry is paid for then.
+    pub(super) next: Option<UpstreamSlot>,
     /// When the request left.
     pub(super) sent_at: Instant,
     patience: Duration,
@@ -56,7 +58,8 @@
             slot,
             resume_after: request.resume_after,
             may_repeat: false,
-            has_moved: false,
+            excluded: Vec::new(),
+            next: None,
             sent_at: Instant::now(),
             patience: core.patience(request),
             was_silent: false,
@@ -115,14 +118,23 @@
         AttemptStart::Answering(reply)
     }
 
-    /// Takes the request away from a silent upstream if a retry is left.
+    /// Takes the request away from a silent upstream if another one has a
+    /// free slot and a retry is left.
     ///
     /// Otherwise the upstream is waited for: its silence alone is no reason
     /// to end an answer.
     pub(super) fn try_move(&mut self) -> bool {
+        if !self.may_repeat {
+            return false;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(self.slot.upstream().vm.clone());
+        let core = self.core;
+        let admission = core.admission(self.request, &excluded);
+        let slot = core.table.try_admit(&admission.with_wait(Duration::ZERO));
         let service = &self.request.service;
-        self.has_moved = self.may_repeat && self.core.try_retry(service);
-        self.has_moved
+        self.next = slot.filter(|_| core.try_retry(service));
+        self.next.is_some()
     }
 
     /// Time left until the upstream counts as silent.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -8,7 +8,8 @@
 };
 
 use super::{
-    CallRequest, GatewayFront, LatencyBook, LeavePlan, moves::ServiceMoves,
+    CallRequest, GatewayFront, LatencyBook, LeavePlan, VersionChoice,
+    moves::ServiceMoves,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -21,7 +22,9 @@
         CatalogPort, ForwardPort, KeyedPort, KnownState, MovePort, PeerPort,
         UpstreamListPort, VmListPort,
     },
-    routing::{RetryBudget, UpstreamTable, UpstreamView},
+    routing::{
+        AdmitRequest, PlacementHint, RetryBudget, UpstreamTable, UpstreamView,
+    },
     telemetry::RouterMetrics,
     timer::TimerService,
 };
@@ -71,6 +74,34 @@
     pub front: Rc<dyn GatewayFront>,
 }
 
+/// What admission needs to know of a request.
+pub(super) struct CallAdmission<'a> {
+    request: &'a CallRequest,
+    excluded: &'a [String],
+    choice: VersionChoice,
+    hint: PlacementHint,
+}
+
+impl CallAdmission<'_> {
+    /// The request for a slot, waiting for one up to `wait`.
+    pub(super) fn with_wait(&self, wait: Duration) -> AdmitRequest<'_> {
+        let request = self.request;
+        AdmitRequest {
+            service: &request.service,
+            version: self.choice.only.as_deref(),
+            avoided: self.choice.avoided.as_deref(),
+            rank: request.rank,
+            is_draft: false,
+            account: request.account_name(),
+            excluded: self.excluded,
+            affinity: request.shared_part().unwrap_or(&request.id),
+            hint: self.hint.clone(),
+            wait,
+            draft_percent: 100,
+        }
+    }
+}
+
 /// What the tasks of one gateway share.
 pub struct GatewayCore {
     /// The settings of the process.
@@ -221,6 +252,23 @@
         self.table.update(&views);
     }
 
+    /// What admission needs to know of a request.
+    pub(super) fn admission<'a>(
+        &self,
+        request: &'a CallRequest,
+        excluded: &'a [String],
+    ) -> CallAdmission<'a> {
+        let hint = PlacementHint {
+            prompt_tokens: request.ceiling.prompt,
+            shared_tokens: request.shared_tokens(),
+            first_part: request.first_part().unwrap_or("").to_owned(),
+            objective: request.route.objective,
+            domain: self.settings.domain.clone(),
+        };
+        let choice = self.version_choice(&request.service, &request.id);
+        CallAdmission { request, excluded, choice, hint }
+    }
+
     /// Drops an upstream whose address turned out to be another one's.
     pub(super) fn drop_misplaced(&self, upstream: &str) {
         if self.roster.borrow_mut().drop_misplaced(upstream) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -24,7 +24,7 @@
     allowance::TokenHold,
     error::{CallError, ErrorKind},
     ports::{ForwardReply, ForwardVerdict, UpstreamFault, UpstreamParts},
-    routing::{AdmitRequest, PlacementHint, UpstreamOutcome, UpstreamSlot},
+    routing::{UpstreamOutcome, UpstreamSlot},
 };
 
 /// Most upstreams that may refuse a request before it is refused.
@@ -191,6 +191,8 @@
     refusals: u32,
     failure: Option<CallError>,
     position: StreamPosition,
+    /// A slot that was taken before a silent upstream was left.
+    next: Option<UpstreamSlot>,
 }
 
 impl<'a> CallDispatch<'a> {
@@ -209,6 +211,7 @@
             refusals: 0,
             failure: None,
             position,
+            next: None,
         }
     }
 
@@ -255,33 +258,13 @@
         wait.min(left / 2).min(LONGEST_WAIT)
     }
 
-    async fn admit(&self) -> Result<UpstreamSlot, CallError> {
-        let request = self.request;
-        let shared = request.shared_part();
-        let affinity = shared.unwrap_or(&request.id);
-        let hint = PlacementHint {
-            prompt_tokens: request.ceiling.prompt,
-            shared_tokens: request.shared_tokens(),
-            first_part: request.first_part().unwrap_or("").to_owned(),
-            objective: request.route.objective,
-            domain: self.core.settings.domain.clone(),
-        };
-        let service = &request.service;
-        let choice = self.core.version_choice(service, &request.id);
-        let admit = AdmitRequest {
-            service,
-            version: choice.only.as_deref(),
-            avoided: choice.avoided.as_deref(),
-            rank: request.rank,
-            is_draft: false,
-            account: request.account_name(),
-            excluded: &self.excluded,
-            affinity,
-            hint,
-            wait: self.longest_wait(),
-            draft_percent: 100,
-        };
-        self.core.table.admit(&admit).await
+    async fn admit(&mut self) -> Result<UpstreamSlot, CallError> {
+        if let Some(slot) = self.next.take() {
+            return Ok(slot);
+        }
+        let wait = self.longest_wait();
+        let admission = self.core.admission(self.request, &self.excluded);
+        self.core.table.admit(&admission.with_wait(wait)).await
     }
 
     /// Whether the request may run at a further upstream.
@@ -305,6 +288,7 @@
         progress.upstream.replace(upstream.clone());
         let mut attempt = CallAttempt::new(core, request, slot);
         attempt.resume_after = self.position.last_event;
+        attempt.excluded = self.excluded.clone();
         // One attempt is under way; another one has to be left after it.
         attempt.may_repeat = request.route.kind.may_repeat()
             && progress.sends.get() + 1 < request.route.attempts;
@@ -349,7 +333,8 @@
             }
             AttemptStart::Silent => {
                 self.log_attempt(&upstream, "no answer in time");
-                self.moved_on(upstream, &UpstreamFault::TimedOut)
+                let next = attempt.next.take();
+                self.moved_on(upstream, next, &UpstreamFault::TimedOut)
             }
         }
     }
@@ -383,8 +368,10 @@
     fn moved_on(
         &mut self,
         upstream: String,
+        next: Option<UpstreamSlot>,
         fault: &UpstreamFault,
     ) -> NextStep {
+        self.next = next;
         self.excluded.push(upstream);
         self.failure = Some(lost_error(self.request, fault));
         NextStep::TryAgain
@@ -481,8 +468,8 @@
                     attempt.note(UpstreamOutcome::Lost);
                 }
                 self.log_attempt(&upstream, &fault.to_string());
-                if attempt.has_moved {
-                    return self.moved_on(upstream, &fault);
+                if let Some(next) = attempt.next.take() {
+                    return self.moved_on(upstream, Some(next), &fault);
                 }
                 self.excluded.push(upstream);
                 return self.lost(&fault);
@@ -530,8 +517,8 @@
             RelayEnd::Silent => UpstreamFault::TimedOut,
         };
         self.log_attempt(&upstream, &fault.to_string());
-        if attempt.has_moved {
-            return self.moved_on(upstream, &fault);
+        if let Some(next) = attempt.next.take() {
+            return self.moved_on(upstream, Some(next), &fault);
         }
         self.excluded.push(upstream);
         self.lost(&fault)
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -328,6 +328,16 @@
         }
     }
 
+    /// Takes a slot that is free now; `None` if there is none.
+    pub fn try_admit(
+        &self,
+        request: &AdmitRequest<'_>,
+    ) -> Option<UpstreamSlot> {
+        let call = request.to_queued();
+        let view = self.state.borrow_mut().occupy(request.service, &call)?;
+        Some(self.slot(view, &call))
+    }
+
     fn slot(&self, view: UpstreamView, call: &QueuedCall) -> UpstreamSlot {
         UpstreamSlot {
             table: self.clone(),
