--- a/standins/tests/bad_input.rs
+++ b/standins/tests/bad_input.rs
@@ -195,6 +195,12 @@
         exchange(fleet.routers[0].callers, &post(auth, "{}"));
         let auth = format!("authorization: Bearer {}\r\n", key_of(BUDGET));
         exchange(fleet.routers[0].callers, &post(&auth, "{}"));
+        // Lines are written by a thread of their own, shortly afterwards.
+        let refused = || {
+            let text = fleet.routers[0].process.log_text();
+            text.matches("\"kind\":").count()
+        };
+        eventually("both refusals are logged", async || refused() >= 2).await;
         let text = fleet.routers[0].process.log_text();
         assert!(!text.contains("my-secret-key"), "{text}");
         assert!(!text.contains(&key_of(BUDGET)), "{text}");
