Make the entry VMs of tests in one place

Cause: two tests and the benchmark each built the same list of entry VMs, and two tests of moves began with the same six lines. Change: tests/common has `entry_vms`, the tests of moves `start_canary`. All assertions stay. The addresses of the VMs differ from before in two of the places; no decision under test depends on them. Not mended, as it would touch product code: the twins in the callers and processes of router and gateway.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -6,6 +6,9 @@
 
 #![allow(missing_docs)]
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 use std::{
     collections::BTreeMap,
     hint::black_box,
@@ -13,6 +16,7 @@
 };
 
 use {
+    common::entry_vms,
     criterion::Criterion,
     magnoliahaven::{
         AccountLedger, AccountRecord, GrantHolder, HolderId, PortionId,
@@ -21,7 +25,7 @@
         config::CallClass,
         entry::{EntryHealth, rank_entries},
         moves::{EvidenceTally, MovePlan, MoveStartRecord, MoveState},
-        ports::{LogRecord, VmEntry, VmRole, VmState},
+        ports::LogRecord,
         routing::{
             AdmitRequest, PlacementHint, SubsetPlan, UpstreamTable,
             UpstreamView, upstream_shares,
@@ -105,26 +109,6 @@
     }
 }
 
-fn entries(size: Size) -> BTreeMap<String, VmEntry> {
-    let mut vms = BTreeMap::new();
-    for number in 0..size.routers {
-        let entry = VmEntry {
-            role: VmRole::Entry,
-            state: VmState::Live,
-            region: format!("r-{}", number % 2),
-            domain: format!("d-{}", number % 6),
-            address: ([127, 0, 0, 1], number as u16).into(),
-            peer_address: None,
-            operator_address: None,
-            capacity: 0,
-            service: String::new(),
-            version: String::new(),
-        };
-        vms.insert(format!("vm-{number}"), entry);
-    }
-    vms
-}
-
 /// Picks an upstream of the router's subset; the naive version takes the
 /// next one of a list.
 fn pick(bench: &mut Bench, size: Size) {
@@ -250,7 +234,7 @@
 
 /// Ranks entry answers; the naive version copies the list.
 fn rank(bench: &mut Bench, size: Size) {
-    let vms = entries(size);
+    let vms = entry_vms(size.routers, &["r-0", "r-1"], 6);
     bench.compare(
         &format!("rank entry answers, {}", size.name),
         30.0,
--- a/standins/tests/moves.rs
+++ b/standins/tests/moves.rs
@@ -15,6 +15,7 @@
         ctl::MoveRequest,
         moves::{MoveState, MoveStep},
     },
+    monoio::task::JoinHandle,
     serde_json::{Value, json},
 };
 
@@ -47,7 +48,7 @@
 }
 
 /// Sends requests in the background for `seconds`.
-fn load(fleet: &Fleet, seconds: u64) -> monoio::task::JoinHandle<LoadReport> {
+fn load(fleet: &Fleet, seconds: u64) -> JoinHandle<LoadReport> {
     let keys = ["dairy/urgent", "dairy/check", "yards/check"];
     let options = LoadOptions {
         target: CallTarget::Routers(fleet.callers()),
@@ -95,6 +96,18 @@
     number.expect("a router of the fleet").parse().expect("a number")
 }
 
+/// Starts a move under load and waits until its driver has begun; returns
+/// the fleet, the load, the number of the move and that of the driver.
+async fn start_canary() -> (Fleet, JoinHandle<LoadReport>, u64, usize) {
+    let fleet = Fleet::start(plan()).unwrap();
+    fleet.configure(10_000_000).await;
+    let load = load(&fleet, 18);
+    let id = start(&fleet, Duration::from_secs(18)).await;
+    let canary = wait_for_step(&fleet, id, MoveStep::Canary).await;
+    let number = driver_of(&canary);
+    (fleet, load, id, number)
+}
+
 #[test]
 fn a_good_version_is_done_in_time() {
     run(async {
@@ -179,12 +192,7 @@
 #[test]
 fn a_killed_driver_is_replaced() {
     run(async {
-        let mut fleet = Fleet::start(plan()).unwrap();
-        fleet.configure(10_000_000).await;
-        let load = load(&fleet, 18);
-        let id = start(&fleet, Duration::from_secs(18)).await;
-        let canary = wait_for_step(&fleet, id, MoveStep::Canary).await;
-        let number = driver_of(&canary);
+        let (mut fleet, load, id, number) = start_canary().await;
         fleet.routers[number].process.signal(Signal::Kill);
         let done = wait_for_step(&fleet, id, MoveStep::Done).await;
         assert_ne!(driver_of(&done), number);
@@ -195,12 +203,7 @@
 #[test]
 fn a_frozen_driver_does_no_harm_when_it_wakes_up() {
     run(async {
-        let mut fleet = Fleet::start(plan()).unwrap();
-        fleet.configure(10_000_000).await;
-        let load = load(&fleet, 18);
-        let id = start(&fleet, Duration::from_secs(18)).await;
-        let canary = wait_for_step(&fleet, id, MoveStep::Canary).await;
-        let number = driver_of(&canary);
+        let (mut fleet, load, id, number) = start_canary().await;
         fleet.routers[number].process.signal(Signal::Freeze);
         let ctl = fleet.ctl();
         ctl.undo_move("assistant", "test", "frozen").await.unwrap();
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -1,11 +1,14 @@
 //! The gateway's decisions, each against the load pattern that it answers.
 
+mod common;
+
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use {
+    common::entry_vms,
     magnoliahaven::{
         catalog::{
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
@@ -13,10 +16,7 @@
         entry::{EntryHealth, pick_entries},
         gateway::{LeavePlan, ServiceMove},
         membership::{UpstreamRoster, rendezvous_weight},
-        ports::{
-            MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews, VmEntry,
-            VmRole, VmState,
-        },
+        ports::{MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews},
         routing::{
             AffinityBook, HealthChange, PlacementCandidate, PlacementHint,
             RetryBudget, UpstreamHealth, UpstreamOutcome, placement_rank,
@@ -345,29 +345,9 @@
     assert_eq!(plan.admits(elapsed, kind, limit), expected);
 }
 
-fn entry_vms(count: u16) -> BTreeMap<String, VmEntry> {
-    let mut vms = BTreeMap::new();
-    for number in 0..count {
-        let entry = VmEntry {
-            role: VmRole::Entry,
-            state: VmState::Live,
-            region: "altiplano".to_owned(),
-            domain: format!("d-{}", number % 3),
-            address: ([10, 0, 0, number as u8], 80).into(),
-            peer_address: None,
-            operator_address: None,
-            capacity: 0,
-            service: String::new(),
-            version: String::new(),
-        };
-        vms.insert(format!("vm-{number}"), entry);
-    }
-    vms
-}
-
 #[test]
 fn all_routers_name_the_same_few_entry_vms_in_all_failure_domains() {
-    let vms = entry_vms(9);
+    let vms = entry_vms(9, &["altiplano"], 3);
     let sound = |_: &str| EntryHealth::default();
     let picks = pick_entries(vms.iter(), "altiplano", 3, sound);
     let mut domains: Vec<&str> =
@@ -386,7 +366,7 @@
 
 #[test]
 fn a_router_that_reaches_nobody_goes_by_the_list() {
-    let vms = entry_vms(9);
+    let vms = entry_vms(9, &["altiplano"], 3);
     let sound = |_: &str| EntryHealth::default();
     let alone = |vm: &str| EntryHealth { unusable: vm != "vm-4", full: false };
     let listed = pick_entries(vms.iter(), "altiplano", 5, sound);
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -1,16 +1,19 @@
 //! Shares, queues and entry answers against naive versions.
 
+mod common;
+
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use {
+    common::entry_vms,
     magnoliahaven::{
         config::CallClass,
         entry::{EntryHealth, rank_entries},
         membership::VmDirectory,
-        ports::{VmEntry, VmList, VmRole, VmState},
+        ports::VmList,
         routing::{
             AdmissionQueue, PlacementHint, QueuedCall, SubsetPlan,
             upstream_shares,
@@ -99,7 +102,7 @@
         lost in 0..30usize,
         account in "[a-z]{1,8}",
     ) {
-        let vms = entries(vms);
+        let vms = entry_vms(vms, &["r-0", "r-1"], 3);
         let lost = format!("vm-{}", lost % vms.len());
         let healthy = |_: &str| EntryHealth::default();
         let before = rank_entries(vms.iter(), &account, "r-0", healthy);
@@ -120,7 +123,7 @@
         full in proptest::collection::vec(any::<bool>(), 30),
         account in "[a-z]{1,8}",
     ) {
-        let vms = entries(vms);
+        let vms = entry_vms(vms, &["r-0", "r-1"], 3);
         let is_full = |vm: &str| {
             let number: usize = vm.trim_start_matches("vm-").parse().unwrap();
             full[number]
@@ -180,26 +183,6 @@
     }
 }
 
-fn entries(count: usize) -> BTreeMap<String, VmEntry> {
-    let mut vms = BTreeMap::new();
-    for number in 0..count {
-        let entry = VmEntry {
-            role: VmRole::Entry,
-            state: VmState::Live,
-            region: format!("r-{}", number % 2),
-            domain: format!("d-{}", number % 3),
-            address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
-            peer_address: None,
-            operator_address: None,
-            capacity: 0,
-            service: String::new(),
-            version: String::new(),
-        };
-        vms.insert(format!("vm-{number}"), entry);
-    }
-    vms
-}
-
 #[test]
 fn a_full_class_takes_no_more_and_leaves_room_for_others() {
     let now = Instant::now();
@@ -240,7 +223,7 @@
 /// The short question has the answer that the whole ranking gives.
 #[test]
 fn the_first_vm_is_the_head_of_the_ranking() {
-    let list = VmList { version: 1, vms: entries(9) };
+    let list = VmList { version: 1, vms: entry_vms(9, &["r-0", "r-1"], 3) };
     for number in 0..9 {
         let vm = format!("vm-{number}");
         let directory = VmDirectory::new(&vm);
