--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -40,6 +40,30 @@
     until: Instant,
 }
 
+/// How long an answer may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplyTime {
+    /// Longest time to the head of the answer.
+    pub head: Duration,
+    /// Longest time to its end.
+    pub whole: Duration,
+}
+
+impl ReplyTime {
+    /// A time for the whole answer, within which the head may come at any
+    /// moment.
+    pub fn within(whole: Duration) -> ReplyTime {
+        ReplyTime { head: whole, whole }
+    }
+
+    /// Sets the longest time to the head, so that a remote end that stays
+    /// silent is told from one that sends a long answer.
+    pub fn with_head(mut self, head: Duration) -> ReplyTime {
+        self.head = head;
+        self
+    }
+}
+
 /// What happened to a request on its way to the remote end.
 enum WriteProgress {
     Running,
@@ -267,11 +291,12 @@
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        time: Duration,
+        time: ReplyTime,
     ) -> Result<(StatusCode, Bytes), HttpFault> {
-        let deadline = Instant::now() + time;
+        let deadline = Instant::now() + time.whole;
         let connection = self.connect(address).await?;
-        let reply = self.send(address, connection, request, time).await?;
+        let reply = self.send(address, connection, request, time.head);
+        let reply = reply.await?;
         let body = reply.body.collect(deadline).await?;
         Ok((reply.status, body))
     }
@@ -293,7 +318,7 @@
             .header("content-type", "application/json")
             .body(Bytes::from(body))
             .map_err(std::io::Error::other)?;
-        self.fetch(address, request, time).await
+        self.fetch(address, request, ReplyTime::within(time)).await
     }
 
     /// Gets a path and reads the whole answer within `time`.
@@ -309,7 +334,7 @@
     ) -> Result<(StatusCode, Bytes), HttpFault> {
         let request = Request::get(path).body(Bytes::new());
         let request = request.map_err(std::io::Error::other)?;
-        self.fetch(address, request, time).await
+        self.fetch(address, request, ReplyTime::within(time)).await
     }
 }
 
--- a/src/adapters/upstream.rs
+++ b/src/adapters/upstream.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     adapters::http::{
-        HttpClient, HttpConnection, HttpFault, HttpReply, ReplyBody,
+        HttpClient, HttpConnection, HttpFault, HttpReply, ReplyBody, ReplyTime,
     },
     ports::{
         PortFuture, UpstreamCall, UpstreamFault, UpstreamLink, UpstreamParts,
@@ -89,7 +89,7 @@
     fn from(fault: HttpFault) -> UpstreamFault {
         match fault {
             HttpFault::TimedOut => UpstreamFault::TimedOut,
-            other => UpstreamFault::Broken { reason: other.to_string() },
+            other => UpstreamFault::broken(other),
         }
     }
 }
@@ -101,9 +101,7 @@
     ) -> PortFuture<'_, Result<Box<dyn UpstreamLink>, UpstreamFault>> {
         Box::pin(async move {
             let connection = self.client.connect(address).await;
-            let connection = connection.map_err(|fault| {
-                UpstreamFault::Connect { reason: fault.to_string() }
-            })?;
+            let connection = connection.map_err(UpstreamFault::connect)?;
             let client = self.client.clone();
             let link = OpenLink { client, address, connection };
             Ok(Box::new(link) as Box<dyn UpstreamLink>)
@@ -119,23 +117,20 @@
             let request =
                 Request::delete(format!("{CANCEL_PATH}{request_id}"))
                     .body(Bytes::new())
-                    .map_err(broken)?;
-            let reply = self.client.fetch(address, request, CANCEL_TIME);
+                    .map_err(UpstreamFault::broken)?;
+            let time = ReplyTime::within(CANCEL_TIME);
+            let reply = self.client.fetch(address, request, time);
             let (status, body) = reply.await?;
             if !status.is_success() {
-                return Err(broken(status));
+                return Err(UpstreamFault::broken(status));
             }
-            let reply: CancelReply =
-                serde_json::from_slice(&body).map_err(broken)?;
+            let reply: CancelReply = serde_json::from_slice(&body)
+                .map_err(UpstreamFault::broken)?;
             Ok(reply.total_tokens)
         })
     }
 }
 
-fn broken(reason: impl ToString) -> UpstreamFault {
-    UpstreamFault::Broken { reason: reason.to_string() }
-}
-
 impl UpstreamLink for OpenLink {
     fn send(
         self: Box<Self>,
@@ -151,7 +146,7 @@
                 .header(PRIORITY_HEADER, u32::from(call.priority))
                 .header(RESUME_HEADER, call.resume_from)
                 .body(call.body)
-                .map_err(broken)?;
+                .map_err(UpstreamFault::broken)?;
             let head_time = call.head_time;
             let reply = client.send(address, connection, request, head_time);
             Ok(upstream_reply(reply.await?))
--- a/src/ports/upstream.rs
+++ b/src/ports/upstream.rs
@@ -29,6 +29,18 @@
     TimedOut,
 }
 
+impl UpstreamFault {
+    /// A fault before any byte of the request has left.
+    pub fn connect(reason: impl ToString) -> UpstreamFault {
+        UpstreamFault::Connect { reason: reason.to_string() }
+    }
+
+    /// A fault after bytes may have left.
+    pub fn broken(reason: impl ToString) -> UpstreamFault {
+        UpstreamFault::Broken { reason: reason.to_string() }
+    }
+}
+
 /// One request to an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamCall {
--- a/standins/src/load/caller.rs
+++ b/standins/src/load/caller.rs
@@ -10,7 +10,7 @@
     http::Request,
     magnoliahaven::{
         adapters::{
-            http::{HttpClient, HttpFault, HttpReply},
+            http::{HttpClient, HttpFault, HttpReply, ReplyTime},
             upstream::REQUEST_ID_HEADER,
         },
         entry::EntryAnswer,
@@ -157,7 +157,8 @@
             .header("authorization", format!("Bearer {}", self.key))
             .body(Bytes::new())
             .ok()?;
-        let reply = self.client.fetch(router, request, ENTRY_TIME).await;
+        let time = ReplyTime::within(ENTRY_TIME);
+        let reply = self.client.fetch(router, request, time).await;
         let (_, body) = reply.ok()?;
         serde_json::from_slice(&body).ok()
     }
--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -16,7 +16,10 @@
         load::{CallRequest, CallTarget, LoadCaller},
         server::block_on,
     },
-    magnoliahaven::{adapters::http::HttpClient, ctl::BudgetRow},
+    magnoliahaven::{
+        adapters::http::{HttpClient, ReplyTime},
+        ctl::BudgetRow,
+    },
     serde_json::Value,
 };
 
@@ -106,7 +109,8 @@
     }
     let request = request.body(Bytes::from(body.to_owned())).ok()?;
     let client = HttpClient::new();
-    let reply = client.fetch(address, request, EVENTUALLY).await.ok()?;
+    let time = ReplyTime::within(EVENTUALLY);
+    let reply = client.fetch(address, request, time).await.ok()?;
     let value = serde_json::from_slice(&reply.1).unwrap_or_default();
     Some((reply.0, value))
 }
