Share the life of processes; let no two processes share an address

Cause 1: gateway and router had their listeners, their loops over callers' connections, their states and their answers to peers twice. They are one module now (src/process), generic over what a process says of itself. Three loops that answer from memory are one.

Cause 2: the test an_ordered_version_is_completed_or_taken_back::sound failed once: an entry answer was not JSON. The runtime opens listeners that processes share by default, and tests took ports from the range of outgoing connections, each on one address only. Two tests that drew one port then shared it without an error, and one read the other's answers. Ruled out: the entry answer itself, which is always JSON.

Before: a second process on the address of another one runs and gets a part of its connections (test red after 15 s). After: it ends with `cannot listen`. All tests pass. Conclusion: mended; the product fault is that wrong settings would have shown as faults of another process.

--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -140,15 +140,6 @@
         write_all(&mut self.writer, encoded).await
     }
 
-    /// Sends a whole response and announces the end of the connection.
-    pub async fn send_last(
-        &mut self,
-        response: Response<Bytes>,
-    ) -> Result<(), HttpFault> {
-        self.closing = true;
-        self.send(response).await
-    }
-
     /// Sends the head of a chunked response.
     pub async fn start_stream(
         &mut self,
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use super::{ConfigFault, load_yaml};
+use crate::catalog::CallerLimits;
 
 /// Where a router listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,6 +76,18 @@
     pub reader_time: Duration,
 }
 
+impl LimitSettings {
+    /// The bounds on what callers may send.
+    pub fn for_callers(&self) -> CallerLimits {
+        CallerLimits {
+            head_bytes: self.head_bytes,
+            body_bytes: self.body_bytes,
+            request_time: self.request_time,
+            idle_time: self.idle_time,
+        }
+    }
+}
+
 /// Settings of a router process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -22,6 +22,7 @@
         CatalogPort, ForwardPort, KeyedPort, KnownState, MovePort, PeerPort,
         UpstreamListPort, VmListPort,
     },
+    process::ProcessCore,
     routing::{
         AdmitRequest, PlacementHint, RetryBudget, UpstreamTable, UpstreamView,
     },
@@ -149,11 +150,6 @@
         })
     }
 
-    /// Whether the gateway was told to leave.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving_since.get().is_some()
-    }
-
     /// The schedule of leaving.
     pub(super) fn leave_plan(&self) -> LeavePlan {
         let settings = &self.settings;
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,24 +1,16 @@
 //! Answers to callers that ask where to connect, and to checks.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
-use {
-    monoio::net::{TcpListener, TcpStream},
-    tokio::sync::Notify,
-};
+use {bytes::Bytes, http::Response, monoio::net::TcpListener};
 
 use super::GatewayCore;
 use crate::{
-    adapters::http::{
-        HttpConnection, HttpRequest, MessageLimits, accept_until,
-        text_response,
-    },
+    adapters::http::{HttpRequest, text_response},
     entry::{EntryHealth, pick_entries, pick_width},
+    process::{ProcessCore, run_answers},
 };
 
-/// Longest time for which an idle connection is kept.
-const IDLE_TIME: Duration = Duration::from_secs(30);
-
 /// Most addresses in an answer.
 const LARGEST_ANSWER: usize = 64;
 
@@ -48,37 +40,14 @@
     listener: TcpListener,
     role: ListenerRole,
 ) {
-    // These listeners end with the process.
-    let stop = Rc::new(Notify::new());
-    let take = |stream| {
-        monoio::spawn(serve_connection(core.clone(), stream, role));
-    };
-    accept_until(listener, stop, take).await;
-}
-
-async fn serve_connection(
-    core: Rc<GatewayCore>,
-    stream: TcpStream,
-    role: ListenerRole,
-) {
-    let connection = HttpConnection::new(stream);
-    let (mut reader, mut responder) =
-        connection.into_server(MessageLimits::new());
-    while let Ok(request) = reader.next_request(IDLE_TIME).await {
-        let keeps = request.keeps_alive();
-        responder.reset(!keeps);
-        let answer = answer(&core, &request, role);
-        if responder.send(answer).await.is_err() || !keeps {
-            return;
-        }
-    }
+    run_answers(listener, move |request| answer(&core, request, role)).await;
 }
 
 fn answer(
     core: &GatewayCore,
     request: &HttpRequest,
     role: ListenerRole,
-) -> http::Response<bytes::Bytes> {
+) -> Response<Bytes> {
     let front = &core.ports.front;
     match role {
         ListenerRole::Entry => front.entry_answer(core, request),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 //! * `attempt` sends a request to one upstream.
 //! * `relay` copies a stream of events to a caller.
 //! * `patience` tells when an upstream takes longer than it should.
-//! * `callers` and `entry` run the listeners.
+//! * `callers` and `entry` answer what the listeners receive.
 //! * `follow` keeps catalog and upstreams up to date.
 //! * [`LeavePlan`] tells what a gateway that leaves still takes.
 //! * [`ServiceMove`] moves a service to another version.
@@ -39,6 +39,6 @@
     leave::LeavePlan,
     moves::{ServiceMove, VersionChoice},
     patience::{LatencyBook, expected_time},
-    process::{GatewayProcess, Leaving, Serving, Starting},
+    process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
 };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -2,57 +2,32 @@
 
 use std::{
     cell::{Cell, RefCell},
-    marker::PhantomData,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
-};
-
-use {
-    monoio::net::TcpListener,
-    tokio::sync::{Notify, mpsc},
+    time::Instant,
 };
 
 use super::{
-    GatewayCore, GatewayPorts, LatencyBook, callers,
+    GatewayCore, GatewayPorts, LatencyBook,
     entry::{self, ListenerRole},
-    follow, moves, peers,
+    follow, moves,
 };
 use crate::{
-    adapters::peer::{InboundCall, PeerLink, ProcessSignal},
+    adapters::peer::PeerLink,
     allowance::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     config::RouterSettings,
-    domain::HolderId,
     membership::{MemberOptions, MemberTable, UpstreamRoster, VmDirectory},
-    router::{StartFault, listen},
+    process::{
+        Leaving, ProcessLink, ServerProcess, Serving, StartFault, Starting,
+        bind_alone, listen, new_holder,
+    },
     routing::UpstreamTable,
     telemetry::RouterMetrics,
     timer::TimerService,
 };
 
-/// How often a leaving gateway looks at what is still in progress.
-const LEAVE_POLL: Duration = Duration::from_millis(50);
-
-/// A process that has read its settings.
-#[derive(Debug)]
-pub struct Starting;
-
-/// A process that serves callers.
-#[derive(Debug)]
-pub struct Serving;
-
-/// A process that was told to leave.
-#[derive(Debug)]
-pub struct Leaving;
-
 /// A gateway process in one state of its life.
-pub struct GatewayProcess<S> {
-    core: Rc<GatewayCore>,
-    signals: mpsc::Receiver<ProcessSignal>,
-    inbound: Option<mpsc::Receiver<InboundCall>>,
-    stop_listening: Rc<Notify>,
-    state: PhantomData<S>,
-}
+pub type GatewayProcess<S> = ServerProcess<GatewayCore, S>;
 
 impl GatewayProcess<Starting> {
     /// Creates a process whose ports are made by `make_ports`.
@@ -70,13 +45,9 @@
         let link = listen(settings.listen.peers, PeerLink::start)?;
         let ports = make_ports(&settings, Rc::new(link.client));
         let core = Rc::new(build_core(settings, ports));
-        Ok(GatewayProcess {
-            core,
-            signals: link.signals,
-            inbound: Some(link.inbound),
-            stop_listening: Rc::default(),
-            state: PhantomData,
-        })
+        let link =
+            ProcessLink { signals: link.signals, inbound: link.inbound };
+        Ok(ServerProcess::with_core(core, link))
     }
 
     /// Opens the listeners and starts all tasks.
@@ -84,30 +55,20 @@
     /// # Errors
     ///
     /// `Listen` if an address cannot be used.
-    pub fn start(mut self) -> Result<GatewayProcess<Serving>, StartFault> {
+    pub fn start(self) -> Result<GatewayProcess<Serving>, StartFault> {
         let core = self.core.clone();
         let addresses = core.settings.listen.clone();
-        let callers = listen(addresses.callers, TcpListener::bind)?;
+        let callers = listen(addresses.callers, bind_alone)?;
         self.serve_role(Some(addresses.operators), ListenerRole::Metrics)?;
         self.serve_role(addresses.entry, ListenerRole::Entry)?;
         self.serve_role(addresses.readiness, ListenerRole::Readiness)?;
-        monoio::spawn(core.timer.clone().run());
         monoio::spawn(follow::run_catalog(core.clone()));
         monoio::spawn(follow::run_upstreams(core.clone()));
         monoio::spawn(follow::run_vm_list(core.clone()));
         monoio::spawn(moves::run_moves(core.clone()));
         monoio::spawn(core.keeper.clone().run());
         monoio::spawn(core.keeper.clone().run_loans());
-        let members = core.members.clone();
-        let peers = core.ports.peers.clone();
-        monoio::spawn(members.run(peers, core.timer.clone()));
-        if let Some(inbound) = self.inbound.take() {
-            monoio::spawn(peers::run_inbound(core.clone(), inbound));
-        }
-        let stop = self.stop_listening.clone();
-        monoio::spawn(callers::run_listener(core, callers, stop));
-        log::info!("gateway serves callers on {}", addresses.callers);
-        Ok(self.into_state())
+        Ok(self.into_serving(callers))
     }
 
     fn serve_role(
@@ -118,43 +79,13 @@
         let Some(address) = address else {
             return Ok(());
         };
-        let listener = listen(address, TcpListener::bind)?;
+        let listener = listen(address, bind_alone)?;
         let core = self.core.clone();
         monoio::spawn(entry::run_listener(core, listener, role));
         Ok(())
     }
 }
 
-impl<S> GatewayProcess<S> {
-    fn into_state<T>(self) -> GatewayProcess<T> {
-        GatewayProcess {
-            core: self.core,
-            signals: self.signals,
-            inbound: self.inbound,
-            stop_listening: self.stop_listening,
-            state: PhantomData,
-        }
-    }
-}
-
-impl GatewayProcess<Serving> {
-    /// Serves until the process is told to leave.
-    pub async fn serve(mut self) -> GatewayProcess<Leaving> {
-        // A closed channel cannot be told from an order to leave.
-        while self.signals.recv().await == Some(ProcessSignal::Reload) {
-            log::info!("reload: settings take effect at the next start");
-        }
-        log::info!("gateway leaves");
-        self.core.leaving_since.set(Some(Instant::now()));
-        self.core.members.set_leaving();
-        let core = self.core.clone();
-        monoio::spawn(async move {
-            core.members.tell_all(core.ports.peers.as_ref()).await;
-        });
-        self.into_state()
-    }
-}
-
 impl GatewayProcess<Leaving> {
     /// Finishes what the leave time allows; `true` if all is settled.
     pub async fn finish(self) -> bool {
@@ -173,23 +104,17 @@
                 // Callers may have used their open connections meanwhile.
                 if is_over || self.is_idle() {
                     let cut = self.core.in_progress.get();
-                    log::info!(cut, settled; "gateway ends");
+                    log::info!(cut, settled; "process ends");
                     return settled;
                 }
             }
-            self.core.timer.sleep(LEAVE_POLL).await;
+            self.wait_poll().await;
         }
     }
-
-    fn is_idle(&self) -> bool {
-        self.core.in_progress.get() == 0
-    }
 }
 
 fn build_core(settings: RouterSettings, ports: GatewayPorts) -> GatewayCore {
-    let random = u64::from(rand::random::<u16>());
-    let incarnation = (TimerService::now_ms() << 16) | random;
-    let id = HolderId::new(&settings.vm, incarnation);
+    let id = new_holder(&settings.vm);
     let timer = TimerService::new();
     let directory = Rc::new(VmDirectory::new(&settings.vm));
     let options = AllowanceOptions {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod membership;
 pub mod moves;
 pub mod ports;
+pub mod process;
 pub mod router;
 pub mod routing;
 pub mod runtime;
--- /dev/null
+++ b/src/process/callers.rs
@@ -0,0 +1,99 @@
+//! Connections of callers.
+
+use std::rc::Rc;
+
+use {
+    monoio::net::{TcpListener, TcpStream},
+    tokio::sync::Notify,
+};
+
+use super::ProcessCore;
+use crate::{
+    adapters::http::{
+        HttpConnection, HttpFault, HttpResponder, MessageLimits, accept_until,
+        message_error,
+    },
+    error::CallError,
+};
+
+/// Accepts callers until `stop` is notified.
+pub(crate) async fn run_callers<C: ProcessCore>(
+    core: Rc<C>,
+    listener: TcpListener,
+    stop: Rc<Notify>,
+) {
+    let take = |stream| {
+        let metrics = core.metrics();
+        let open = metrics.connections.get() as usize;
+        if open >= core.settings().limits.connections {
+            metrics.note_event("connection_refused");
+            return;
+        }
+        let core = core.clone();
+        monoio::spawn(async move {
+            core.metrics().connections.inc();
+            serve_connection(&core, stream).await;
+            core.metrics().connections.dec();
+        });
+    };
+    accept_until(listener, stop, take).await;
+}
+
+/// Serves the requests of one connection, one after another.
+async fn serve_connection<C: ProcessCore>(core: &Rc<C>, stream: TcpStream) {
+    let limits = core.caller_limits();
+    let message = MessageLimits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        message_time: limits.request_time,
+    };
+    let connection = HttpConnection::new(stream);
+    let (mut reader, mut responder) = connection.into_server(message);
+    loop {
+        let request = reader.next_request(limits.idle_time).await;
+        let request = match request {
+            Ok(request) => request,
+            Err(fault) => {
+                refuse_message(core, &mut responder, &fault).await;
+                return;
+            }
+        };
+        // Callers are told that a connection ends. One that ended without
+        // a word would cut off a request that is under way to it.
+        let keeps = request.keeps_alive() && !core.is_leaving();
+        responder.reset(!keeps);
+        let load = core.load();
+        load.set(load.get() + 1);
+        let served = core.serve_call(request, &mut reader, &mut responder);
+        let served = served.await;
+        load.set(load.get() - 1);
+        if !served || !keeps {
+            return;
+        }
+    }
+}
+
+/// Answers a request that is not served; `false` if the caller is gone.
+pub(crate) async fn refuse<C: ProcessCore>(
+    core: &Rc<C>,
+    responder: &mut HttpResponder,
+    error: &CallError,
+) -> bool {
+    core.metrics().note_answer("", error.kind.code());
+    log::info!(kind = error.kind.code(); "refused: {}", error.message);
+    responder.send(core.error_answer(error)).await.is_ok()
+}
+
+/// Answers a message that is not a valid request.
+async fn refuse_message<C: ProcessCore>(
+    core: &Rc<C>,
+    responder: &mut HttpResponder,
+    fault: &HttpFault,
+) {
+    let Some(error) = message_error(fault) else {
+        return;
+    };
+    responder.reset(true);
+    // The caller may be gone, and the connection ends in any case.
+    let _ = refuse(core, responder, &error).await;
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,23 @@
+//! What the processes that serve callers have in common.
+//!
+//! * [`ProcessCore`] is what a process says of itself: its settings, its
+//!   members, and how it serves one request.
+//! * [`ServerProcess`] takes a process through its life: starting, serving,
+//!   leaving. Each state has its own methods, so that a process that has not
+//!   opened its listeners cannot be told to leave.
+//! * `callers` runs one task for each connection of a caller.
+//! * `listen` opens listeners.
+
+mod callers;
+mod life;
+mod listen;
+
+pub(crate) use self::{
+    callers::{refuse, run_callers},
+    life::{ProcessLink, new_holder},
+    listen::{bind_alone, listen, run_answers},
+};
+pub use self::{
+    life::{Leaving, ProcessCore, ServerProcess, Serving, Starting},
+    listen::StartFault,
+};
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -1,23 +1,27 @@
-//! Connections of callers.
+//! How a router serves callers.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use {
-    http::Method,
-    monoio::net::{TcpListener, TcpStream},
+    bytes::Bytes,
+    http::{Method, Response},
     serde_json::json,
-    tokio::sync::Notify,
 };
 
 use super::{RouterCore, chat, service_call};
 use crate::{
     adapters::http::{
-        HttpConnection, HttpFault, HttpRequest, HttpResponder, MessageLimits,
-        RequestReader, accept_until, json_response, message_error,
+        HttpRequest, HttpResponder, RequestReader, json_response,
     },
+    catalog::CallerLimits,
+    config::RouterSettings,
     entry::{EntryAnswer, EntryHealth, rank_entries},
     error::{CallError, ErrorKind},
-    telemetry::LogContext,
+    membership::MemberTable,
+    ports::PeerPort,
+    process::ProcessCore,
+    telemetry::{LogContext, RouterMetrics},
+    timer::TimerService,
 };
 
 /// Path of the chat-completions endpoint.
@@ -29,79 +33,59 @@
 /// Path of entry answers.
 const ENTRY_PATH: &str = "/v1/entry";
 
-/// Accepts callers until `stop` is notified.
-pub(super) async fn run_listener(
-    core: Rc<RouterCore>,
-    listener: TcpListener,
-    stop: Rc<Notify>,
-) {
-    let take = |stream| {
-        let open = core.metrics.connections.get() as usize;
-        if open >= core.settings.limits.connections {
-            core.metrics.note_event("connection_refused");
-            return;
-        }
-        let core = core.clone();
-        monoio::spawn(async move {
-            core.metrics.connections.inc();
-            serve_connection(&core, stream).await;
-            core.metrics.connections.dec();
-        });
-    };
-    accept_until(listener, stop, take).await;
-}
+impl ProcessCore for RouterCore {
+    fn settings(&self) -> &RouterSettings {
+        &self.settings
+    }
 
-/// Serves the requests of one connection, one after another.
-async fn serve_connection(core: &Rc<RouterCore>, stream: TcpStream) {
-    let limits = &core.settings.limits;
-    let message = MessageLimits {
-        head_bytes: limits.head_bytes,
-        body_bytes: limits.body_bytes,
-        message_time: limits.request_time,
-    };
-    let connection = HttpConnection::new(stream);
-    let (mut reader, mut responder) = connection.into_server(message);
-    loop {
-        let request = reader.next_request(limits.idle_time).await;
-        let request = match request {
-            Ok(request) => request,
-            Err(fault) => {
-                refuse_message(core, &mut responder, &fault).await;
-                return;
-            }
-        };
-        // Callers are told that a connection ends. One that ended without
-        // a word would cut off a request that is under way to it.
-        let keeps = request.keeps_alive() && !core.leaving.get();
-        responder.reset(!keeps);
-        core.in_progress.set(core.in_progress.get() + 1);
-        let served =
-            serve_request(core, &request, &mut reader, &mut responder).await;
-        core.in_progress.set(core.in_progress.get() - 1);
-        if !served || !keeps {
-            return;
-        }
+    fn metrics(&self) -> &RouterMetrics {
+        &self.metrics
     }
-}
 
-/// Answers a message that is not a valid request.
-async fn refuse_message(
-    core: &RouterCore,
-    responder: &mut HttpResponder,
-    fault: &HttpFault,
-) {
-    let Some(error) = message_error(fault) else {
-        return;
-    };
-    core.metrics.note_answer("", error.kind.code());
-    // The caller may be gone, and the connection ends in any case.
-    let _ = responder.send_last(error_response(&error)).await;
+    fn timer(&self) -> &TimerService {
+        &self.timer
+    }
+
+    fn members(&self) -> &Rc<MemberTable> {
+        &self.members
+    }
+
+    fn peers(&self) -> &Rc<dyn PeerPort> {
+        &self.ports.peers
+    }
+
+    fn load(&self) -> &Cell<usize> {
+        &self.in_progress
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    fn set_leaving(&self) {
+        self.leaving.set(true);
+    }
+
+    fn caller_limits(&self) -> CallerLimits {
+        self.settings.limits.for_callers()
+    }
+
+    fn error_answer(&self, error: &CallError) -> Response<Bytes> {
+        error_response(error)
+    }
+
+    async fn serve_call(
+        self: &Rc<Self>,
+        request: HttpRequest,
+        reader: &mut RequestReader,
+        responder: &mut HttpResponder,
+    ) -> bool {
+        serve_request(self, &request, reader, responder).await
+    }
 }
 
 /// The response that tells a caller about an error.
-pub(super) fn error_response(
-    error: &CallError,
-) -> http::Response<bytes::Bytes> {
+pub(super) fn error_response(error: &CallError) -> Response<Bytes> {
     let status = error.kind.answer().status;
     let mut response = json_response(status, &error.to_json());
     if let Some(seconds) = error.retry_after() {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -7,8 +7,11 @@
     time::Instant,
 };
 
+use tokio::sync::mpsc;
+
 use super::ClaimTable;
 use crate::{
+    adapters::peer::ProcessSignal,
     budget::BudgetKeeper,
     config::{
         CallClass, ControlLedger, Document, PresetDocument, RouterSettings,
@@ -91,6 +94,8 @@
     pub in_progress: Cell<usize>,
     /// Counts requests without an identity of their own.
     pub(super) last_request: Cell<u64>,
+    /// Takes the operators' orders to leave.
+    pub(super) leave_orders: mpsc::Sender<ProcessSignal>,
     /// When the process started.
     pub started: Instant,
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! * [`process`](RouterProcess) starts the tasks and takes the process
 //!   through its life: starting, serving, leaving.
-//! * `callers` runs one task for each connection of a caller.
+//! * `callers` finds the endpoint that a caller asks for.
 //! * `chat` and `service_call` serve one request each, from the reservation
 //!   to the settlement.
 //! * `relay` copies a stream of events to a caller that may be slow.
@@ -28,10 +28,9 @@
 mod service_call;
 mod sse;
 
-pub(crate) use self::process::listen;
 pub use self::{
     claims::{ClaimTable, KeyClaim},
     core::{CallerIdentity, RouterCore, RouterPorts},
-    process::{Leaving, RouterProcess, Serving, StartFault, Starting},
+    process::RouterProcess,
     sse::{SseEvent, SseScanner},
 };
--- a/src/router/operators.rs
+++ b/src/router/operators.rs
@@ -1,66 +1,31 @@
 //! Answers to operators and monitoring.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use {
-    http::Method,
-    monoio::net::{TcpListener, TcpStream},
+    bytes::Bytes,
+    http::{Method, Response},
+    monoio::net::TcpListener,
     serde_json::{Value, json},
-    tokio::sync::mpsc,
 };
 
 use super::{RouterCore, callers::error_response};
 use crate::{
     adapters::{
-        http::{
-            HttpConnection, HttpRequest, MessageLimits, json_response,
-            text_response,
-        },
+        http::{HttpRequest, json_response, text_response},
         peer::ProcessSignal,
     },
     error::{CallError, ErrorKind},
     ports::MemberStatus,
+    process::run_answers,
 };
 
-/// Longest time for which an operator's connection is kept idle.
-const IDLE_TIME: Duration = Duration::from_secs(60);
-
-/// Accepts operators for as long as the task lives.
-pub(super) async fn run_listener(
-    core: Rc<RouterCore>,
-    listener: TcpListener,
-    leave: mpsc::Sender<ProcessSignal>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            core.timer.sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        monoio::spawn(serve_connection(core.clone(), stream, leave.clone()));
-    }
-}
-
-async fn serve_connection(
-    core: Rc<RouterCore>,
-    stream: TcpStream,
-    leave: mpsc::Sender<ProcessSignal>,
-) {
-    let connection = HttpConnection::new(stream);
-    let (mut reader, mut responder) =
-        connection.into_server(MessageLimits::new());
-    while let Ok(request) = reader.next_request(IDLE_TIME).await {
-        let response = answer(&core, &request, &leave);
-        if responder.send(response).await.is_err() {
-            return;
-        }
-    }
+/// Answers operators for as long as the task lives.
+pub(super) async fn run_listener(core: Rc<RouterCore>, listener: TcpListener) {
+    run_answers(listener, move |request| answer(&core, request)).await;
 }
 
-fn answer(
-    core: &RouterCore,
-    request: &HttpRequest,
-    leave: &mpsc::Sender<ProcessSignal>,
-) -> http::Response<bytes::Bytes> {
+fn answer(core: &RouterCore, request: &HttpRequest) -> Response<Bytes> {
     match (&request.head.method, request.path()) {
         (&Method::GET, "/healthz") => text_response(200, "ok\n".to_owned()),
         (&Method::GET, "/readyz") => {
@@ -75,7 +40,7 @@
         (&Method::GET, "/v1/status") => json_response(200, &status(core)),
         (&Method::POST, "/v1/leave") => {
             // A full channel holds the same signal already.
-            let _ = leave.try_send(ProcessSignal::Leave);
+            let _ = core.leave_orders.try_send(ProcessSignal::Leave);
             json_response(202, &json!({"leaving": true}))
         }
         _ => error_response(&CallError::new(
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -1,28 +1,7 @@
 //! Answers to other routers.
 
-use std::rc::Rc;
-
-use tokio::sync::mpsc;
-
 use super::RouterCore;
-use crate::{
-    adapters::peer::InboundCall,
-    ports::{PeerAnswer, PeerCall, PeerHandler, PortFuture},
-};
-
-/// Answers peers for as long as the task lives.
-pub(super) async fn run_inbound(
-    core: Rc<RouterCore>,
-    mut inbound: mpsc::Receiver<InboundCall>,
-) {
-    while let Some(InboundCall { call, answer }) = inbound.recv().await {
-        let core = core.clone();
-        monoio::spawn(async move {
-            // A peer that has stopped waiting needs no answer.
-            let _ = answer.send(core.handle(call).await);
-        });
-    }
-}
+use crate::ports::{PeerAnswer, PeerCall, PeerHandler, PortFuture};
 
 impl PeerHandler for RouterCore {
     fn handle(&self, call: PeerCall) -> PortFuture<'_, PeerAnswer> {
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -3,28 +3,18 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    io,
-    marker::PhantomData,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use {
-    monoio::net::TcpListener,
-    snafu::{ResultExt, Snafu},
-    tokio::sync::{Notify, mpsc},
-};
+use tokio::sync::mpsc;
 
-use super::{
-    ClaimTable, RouterCore, RouterPorts, callers, control, moves, operators,
-    peers,
-};
+use super::{ClaimTable, RouterCore, RouterPorts, control, moves, operators};
 use crate::{
     adapters::{
         http::HttpClient,
         log::LogClient,
-        peer::{InboundCall, PeerLink, ProcessSignal},
+        peer::{PeerLink, ProcessSignal},
         upstream::HttpUpstream,
     },
     budget::{BudgetKeeper, KeeperOptions, KeeperPorts},
@@ -32,6 +22,10 @@
     domain::HolderId,
     membership::{MemberOptions, MemberTable, VmDirectory},
     moves::EvidenceBook,
+    process::{
+        Leaving, ProcessLink, ServerProcess, Serving, StartFault, Starting,
+        bind_alone, listen, new_holder,
+    },
     routing::{RetryBudget, UpstreamTable},
     streams::StreamFollower,
     telemetry::RouterMetrics,
@@ -41,56 +35,15 @@
 /// How often the router looks after its own state.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(250);
 
-/// How often a leaving router looks at what is still in progress.
-const LEAVE_POLL: Duration = Duration::from_millis(50);
-
 /// Time for which a leaving router accepts callers beyond the lifetime of
 /// an entry answer. Routers that have not heard of it yet may name it still.
 const LEAVE_MARGIN: Duration = Duration::from_secs(3);
 
-/// Longest wait for an address that another process still uses.
-const LISTEN_TIME: Duration = Duration::from_secs(3);
-
-/// Pause between two attempts to use an address.
-const LISTEN_POLL: Duration = Duration::from_millis(50);
-
 /// Longest time for the last settlements of a leaving router.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
 
-/// A process that has read its settings.
-#[derive(Debug)]
-pub struct Starting;
-
-/// A process that serves callers.
-#[derive(Debug)]
-pub struct Serving;
-
-/// A process that was told to leave.
-#[derive(Debug)]
-pub struct Leaving;
-
-/// Why a router could not start.
-#[derive(Debug, Snafu)]
-pub enum StartFault {
-    /// An address cannot be used.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address from the settings.
-        address: SocketAddr,
-        /// The error of the socket.
-        source: io::Error,
-    },
-}
-
 /// A router process in one state of its life.
-pub struct RouterProcess<S> {
-    core: Rc<RouterCore>,
-    signals: mpsc::Receiver<ProcessSignal>,
-    leave: mpsc::Sender<ProcessSignal>,
-    inbound: Option<mpsc::Receiver<InboundCall>>,
-    stop_listening: Rc<Notify>,
-    state: PhantomData<S>,
-}
+pub type RouterProcess<S> = ServerProcess<RouterCore, S>;
 
 impl RouterProcess<Starting> {
     /// Creates a process with real adapters.
@@ -112,17 +65,11 @@
             upstreams: Rc::new(HttpUpstream::new(client)),
             peers: Rc::new(link.client),
         };
-        let core = Rc::new(build_core(settings, ports));
         let (leave, operators) = mpsc::channel(4);
+        let core = Rc::new(build_core(settings, ports, leave));
         let signals = merge_signals(link.signals, operators);
-        Ok(RouterProcess {
-            core,
-            signals,
-            leave,
-            inbound: Some(link.inbound),
-            stop_listening: Rc::default(),
-            state: PhantomData,
-        })
+        let link = ProcessLink { signals, inbound: link.inbound };
+        Ok(ServerProcess::with_core(core, link))
     }
 
     /// Opens the listeners and starts all tasks.
@@ -130,12 +77,11 @@
     /// # Errors
     ///
     /// `Listen` if an address cannot be used.
-    pub fn start(mut self) -> Result<RouterProcess<Serving>, StartFault> {
+    pub fn start(self) -> Result<RouterProcess<Serving>, StartFault> {
         let addresses = &self.core.settings.listen;
-        let callers = listen(addresses.callers, TcpListener::bind)?;
-        let operators = listen(addresses.operators, TcpListener::bind)?;
+        let callers = listen(addresses.callers, bind_alone)?;
+        let operators = listen(addresses.operators, bind_alone)?;
         let core = &self.core;
-        monoio::spawn(core.timer.clone().run());
         monoio::spawn(control::run_control(core.clone()));
         monoio::spawn(control::run_vm_list(core.clone()));
         monoio::spawn(control::run_catch_up(core.clone()));
@@ -148,52 +94,10 @@
         let members = core.members.clone();
         let gone = move |id: &HolderId| members.is_gone(id);
         monoio::spawn(core.keeper.clone().run_recover(gone));
-        let members = core.members.clone();
-        let peers = core.ports.peers.clone();
-        monoio::spawn(members.run(peers, core.timer.clone()));
         monoio::spawn(moves::run_driver(core.clone()));
         monoio::spawn(run_upkeep(core.clone()));
-        if let Some(inbound) = self.inbound.take() {
-            monoio::spawn(peers::run_inbound(core.clone(), inbound));
-        }
-        let leave = self.leave.clone();
-        monoio::spawn(operators::run_listener(core.clone(), operators, leave));
-        let stop = self.stop_listening.clone();
-        let listening = callers::run_listener(core.clone(), callers, stop);
-        monoio::spawn(listening);
-        log::info!("router serves callers on {}", addresses.callers);
-        Ok(self.into_state())
-    }
-}
-
-impl<S> RouterProcess<S> {
-    fn into_state<T>(self) -> RouterProcess<T> {
-        RouterProcess {
-            core: self.core,
-            signals: self.signals,
-            leave: self.leave,
-            inbound: self.inbound,
-            stop_listening: self.stop_listening,
-            state: PhantomData,
-        }
-    }
-}
-
-impl RouterProcess<Serving> {
-    /// Serves until the process is told to leave.
-    pub async fn serve(mut self) -> RouterProcess<Leaving> {
-        // A closed channel cannot be told from a signal to leave.
-        while self.signals.recv().await == Some(ProcessSignal::Reload) {
-            log::info!("settings are read at the start only");
-        }
-        log::info!("router leaves");
-        self.core.leaving.set(true);
-        self.core.members.set_leaving();
-        let core = self.core.clone();
-        monoio::spawn(async move {
-            core.members.tell_all(core.ports.peers.as_ref()).await;
-        });
-        self.into_state()
+        monoio::spawn(operators::run_listener(core.clone(), operators));
+        Ok(self.into_serving(callers))
     }
 }
 
@@ -212,7 +116,7 @@
             if !accepting {
                 self.stop_listening.notify_one();
             }
-            if !accepting && self.core.in_progress.get() == 0 {
+            if !accepting && self.is_idle() {
                 break;
             }
             if self.signals.try_recv() == Ok(ProcessSignal::Leave) {
@@ -222,7 +126,7 @@
             if signals_seen > 2 {
                 return false;
             }
-            self.core.timer.sleep(LEAVE_POLL).await;
+            self.wait_poll().await;
         }
         let drained = self.core.keeper.drain(DRAIN_TIME).await;
         if !drained {
@@ -241,25 +145,6 @@
     }
 }
 
-/// Opens a listener, waiting for a process that is about to end.
-pub(crate) fn listen<T>(
-    address: SocketAddr,
-    bind: impl Fn(SocketAddr) -> io::Result<T>,
-) -> Result<T, StartFault> {
-    let deadline = Instant::now() + LISTEN_TIME;
-    loop {
-        let bound = bind(address);
-        let in_use = matches!(
-            &bound,
-            Err(err) if err.kind() == io::ErrorKind::AddrInUse
-        );
-        if !in_use || Instant::now() >= deadline {
-            return bound.context(ListenSnafu { address });
-        }
-        std::thread::sleep(LISTEN_POLL);
-    }
-}
-
 /// Joins signals of the process and of operators.
 fn merge_signals(
     mut process: mpsc::Receiver<ProcessSignal>,
@@ -283,12 +168,12 @@
     signals
 }
 
-fn build_core(settings: RouterSettings, ports: RouterPorts) -> RouterCore {
-    // Two incarnations of one VM differ in the time of their start. The
-    // random part covers a clock that was set back.
-    let random = u64::from(rand::random::<u16>());
-    let incarnation = (TimerService::now_ms() << 16) | random;
-    let id = HolderId::new(&settings.vm, incarnation);
+fn build_core(
+    settings: RouterSettings,
+    ports: RouterPorts,
+    leave_orders: mpsc::Sender<ProcessSignal>,
+) -> RouterCore {
+    let id = new_holder(&settings.vm);
     let timer = TimerService::new();
     let directory = Rc::new(VmDirectory::new(&settings.vm));
     let keeper_ports = KeeperPorts {
@@ -330,6 +215,7 @@
         leaving: Cell::new(false),
         in_progress: Cell::new(0),
         last_request: Cell::new(0),
+        leave_orders,
         started: Instant::now(),
     }
 }
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -13,6 +13,6 @@
     relay::CutRelay,
     setup::{
         EnginePlan, Fleet, FleetEngine, FleetPlan, FleetRouter, RouterPlan,
-        key_of,
+        free_address, key_of,
     },
 };
--- a/standins/src/fleet/setup.rs
+++ b/standins/src/fleet/setup.rs
@@ -234,7 +234,11 @@
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
 /// A free address on loopback.
-fn free_address() -> io::Result<SocketAddr> {
+///
+/// # Errors
+///
+/// `AddrInUse` if no port is free.
+pub fn free_address() -> io::Result<SocketAddr> {
     let span = LAST_PORT - FIRST_PORT;
     // Processes that run fleets at once begin at different ports.
     let first = std::process::id().wrapping_mul(997) % span;
