--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -60,18 +60,17 @@
 
 impl GatewayCore {
     /// The addresses that a caller may connect to, in no order.
-    ///
-    /// None while a fleet starts, because some callers keep the first
-    /// address for good and would all keep that of the first VM.
     pub fn entry_addresses(&self, query: &EntryQuery) -> Vec<SocketAddr> {
-        if !self.directory.is_settled() {
-            return Vec::new();
-        }
         let vms = self.directory.vms();
         let width = self.entry_width().min(LARGEST_ANSWER);
         let health = |vm: &str| self.entry_health(vm);
         let picks = pick_entries(vms.iter(), &query.region, width, health);
-        picks.into_iter().map(|pick| pick.address).collect()
+        let mut addresses: Vec<SocketAddr> =
+            picks.into_iter().map(|pick| pick.address).collect();
+        if addresses.is_empty() {
+            addresses.push(self.settings.listen.callers);
+        }
+        addresses
     }
 
     /// Whether callers are sent to this router.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -112,8 +112,6 @@
                     );
                     core.directory.update(list);
                     core.refresh_upstreams();
-                } else {
-                    core.directory.note_unchanged();
                 }
             }
             Err(fault) => {
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -1,7 +1,7 @@
 //! The newest known list of VMs.
 
 use std::{
-    cell::{Cell, Ref, RefCell},
+    cell::{Ref, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
 };
@@ -12,17 +12,12 @@
 pub struct VmDirectory {
     vm: String,
     list: RefCell<VmList>,
-    is_settled: Cell<bool>,
 }
 
 impl VmDirectory {
     /// Creates an empty directory for the router on `vm`.
     pub fn new(vm: impl Into<String>) -> VmDirectory {
-        VmDirectory {
-            vm: vm.into(),
-            list: RefCell::default(),
-            is_settled: Cell::new(false),
-        }
+        VmDirectory { vm: vm.into(), list: RefCell::default() }
     }
 
     /// The name of this router's VM.
@@ -38,19 +33,6 @@
         }
     }
 
-    /// Notes that the platform has given out the known list again.
-    pub fn note_unchanged(&self) {
-        self.is_settled.set(true);
-    }
-
-    /// Whether callers may be sent to VMs by this list.
-    ///
-    /// A list that is read while a fleet starts names the few VMs that were
-    /// first. It counts from the moment at which it was found unchanged.
-    pub fn is_settled(&self) -> bool {
-        self.is_settled.get()
-    }
-
     /// The version of the known list.
     pub fn version(&self) -> u64 {
         self.list.borrow().version
