Keep connections to the store that open late; read long answers whole

A call to the store gave a new connection 0.4 s and threw it away, so that no connection was ever opened (trial log: 24 of 30 calls from 19 s to 28 s ended after 0.40 s without one), and each such failure also closed the idle ones. The newest configuration has 338 KB and took 2.1 s of the 2.5 s it may take.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -1,7 +1,7 @@
 //! The requesting side, with a pool of kept-alive connections.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     pin::pin,
@@ -16,6 +16,7 @@
     monoio_http::h1::codec::decoder::{
         ChunkedBodyDecoder, ResponseHeadDecoder,
     },
+    tokio::sync::oneshot,
 };
 
 use super::{
@@ -82,6 +83,8 @@
     pooled: usize,
     pooled_time: Duration,
     takes_unframed: bool,
+    late_time: Option<Duration>,
+    pending: Rc<Cell<usize>>,
 }
 
 impl HttpClient {
@@ -94,6 +97,8 @@
             pooled: POOLED_PER_ADDRESS,
             pooled_time: POOLED_TIME,
             takes_unframed: false,
+            late_time: None,
+            pending: Rc::default(),
         }
     }
 
@@ -117,6 +122,23 @@
         self
     }
 
+    /// Keeps connections that open within `time`, although the request that
+    /// needed them has been given up, for later requests.
+    ///
+    /// A VM whose link is full opens connections late. Without this it would
+    /// open none at all, and would not reach the remote end until its load
+    /// ends.
+    pub fn with_late_time(mut self, time: Duration) -> HttpClient {
+        self.late_time = Some(time);
+        self
+    }
+
+    /// Sets the longest time without a byte inside a body.
+    pub fn with_stall_time(mut self, time: Duration) -> HttpClient {
+        self.limits.stall_time = Some(time);
+        self
+    }
+
     /// Opens a connection, or takes an idle one that is still open.
     ///
     /// No byte of a request has left when this returns, so that the caller
@@ -137,10 +159,35 @@
                 return Ok(connection);
             }
         }
-        let connect = TcpStream::connect_addr(address);
-        match monoio::time::timeout(self.connect_time, connect).await {
-            Err(_) => Err(HttpFault::TimedOut),
-            Ok(stream) => Ok(HttpConnection::new(stream?)),
+        let keeps_late = self.pending.get() < self.pooled;
+        let stream = match self.late_time.filter(|_| keeps_late) {
+            Some(time) => self.open_late(address, time).await?,
+            None => open_stream(address, self.connect_time).await?,
+        };
+        Ok(HttpConnection::new(stream))
+    }
+
+    /// Opens a connection that goes into the pool if it is late.
+    async fn open_late(
+        &self,
+        address: SocketAddr,
+        late_time: Duration,
+    ) -> Result<TcpStream, HttpFault> {
+        let (opened, awaited) = oneshot::channel();
+        let client = self.clone();
+        self.pending.set(self.pending.get() + 1);
+        monoio::spawn(async move {
+            let stream = open_stream(address, late_time).await;
+            client.pending.set(client.pending.get() - 1);
+            // Nobody waits any more if the value comes back.
+            if let Err(Ok(stream)) = opened.send(stream) {
+                let connection = HttpConnection::new(stream);
+                client.put_idle(address, connection, client.pooled_time);
+            }
+        });
+        match monoio::time::timeout(self.connect_time, awaited).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => Err(HttpFault::TimedOut),
         }
     }
 
@@ -293,8 +340,23 @@
         request: Request<Bytes>,
         time: ReplyTime,
     ) -> Result<(StatusCode, Bytes), HttpFault> {
-        let deadline = Instant::now() + time.whole;
         let connection = self.connect(address).await?;
+        self.exchange(address, connection, request, time).await
+    }
+
+    /// Sends a request on a connection and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::send`].
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        connection: HttpConnection,
+        request: Request<Bytes>,
+        time: ReplyTime,
+    ) -> Result<(StatusCode, Bytes), HttpFault> {
+        let deadline = Instant::now() + time.whole;
         let reply = self.send(address, connection, request, time.head);
         let reply = reply.await?;
         let body = reply.body.collect(deadline).await?;
@@ -344,6 +406,17 @@
     }
 }
 
+async fn open_stream(
+    address: SocketAddr,
+    time: Duration,
+) -> Result<TcpStream, HttpFault> {
+    let connect = TcpStream::connect_addr(address);
+    match monoio::time::timeout(time, connect).await {
+        Err(_) => Err(HttpFault::TimedOut),
+        Ok(stream) => Ok(stream?),
+    }
+}
+
 /// Whether an answer of a status has a body.
 fn has_body(status: StatusCode) -> bool {
     status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -93,6 +93,9 @@
     pub body_bytes: usize,
     /// Longest time from the first byte to the last one.
     pub message_time: Duration,
+    /// Longest time without a byte inside a body; only the deadline of the
+    /// message counts if it is not set.
+    pub stall_time: Option<Duration>,
 }
 
 impl MessageLimits {
@@ -102,6 +105,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 1024 * 1024,
             message_time: Duration::from_secs(10),
+            stall_time: None,
         }
     }
 
@@ -118,6 +122,14 @@
     }
 }
 
+impl MessageLimits {
+    /// When the next bytes of a body have to be there.
+    fn part_deadline(&self, deadline: Instant) -> Instant {
+        let stalled = self.stall_time.map(|time| Instant::now() + time);
+        stalled.map_or(deadline, |stalled| stalled.min(deadline))
+    }
+}
+
 impl Default for MessageLimits {
     fn default() -> MessageLimits {
         MessageLimits::new()
@@ -265,7 +277,7 @@
             return Err(HttpFault::BodyTooLarge { limit });
         }
         while self.buffer.len() < length {
-            self.fill(deadline).await?;
+            self.fill(limits.part_deadline(deadline)).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
     }
@@ -286,7 +298,7 @@
                 let limit = limits.body_bytes;
                 return Err(HttpFault::BodyTooLarge { limit });
             }
-            self.fill(deadline).await?;
+            self.fill(limits.part_deadline(deadline)).await?;
         }
     }
 
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -46,6 +46,7 @@
         head_bytes: limits.head_bytes,
         body_bytes: limits.body_bytes,
         message_time: limits.request_time,
+        stall_time: None,
     };
     let connection = HttpConnection::new(stream);
     let (mut reader, mut responder) = connection.into_server(message);
