Make log lines a closed list of typed events

Cause: lines had no name and no fixed fields; a reader had to match text. Two of them spoiled common fields: `upstream ejected` and `version move ordered` wrote a duration over the line's time_ms, so that `magnolia-ctl explain` sorted ejections to the year 1970 and never showed them beside a request, and both lines of moves wrote the version over the line's target.

Change: telemetry::LogEvent lists all events with their fields; each line at INFO and above has `event`. What is lost and regained is told by one type, with the time between (lost_ms). docs/OPERATIONS.md has the table. The tests check that names are unique, that no event hides a common field (red for `move_ordered` when written), that the page lists each event with its fields, and every line that the gateways of the process tests write.

Ruled out: a schema file beside the code, which would go stale.

--- a/src/adapters/http/accept.rs
+++ b/src/adapters/http/accept.rs
@@ -8,7 +8,10 @@
 };
 
 use super::HttpFault;
-use crate::error::{CallError, ErrorKind};
+use crate::{
+    error::{CallError, ErrorKind},
+    telemetry::LogEvent,
+};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -27,7 +30,10 @@
         match accepted {
             Ok((stream, _)) => take(stream),
             Err(err) => {
-                log::warn!("accept failed: {err}");
+                log::warn!(
+                    event:% = LogEvent::AcceptFailed, fault:% = err;
+                    "accept failed: {err}"
+                );
                 monoio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -26,7 +26,10 @@
     peer_client::PeerClient as WireClient,
     peer_server::{Peer, PeerServer},
 };
-use crate::ports::{PeerAnswer, PeerCall, PeerFault, PeerPort, PortFuture};
+use crate::{
+    ports::{PeerAnswer, PeerCall, PeerFault, PeerPort, PortFuture},
+    telemetry::LogEvent,
+};
 
 /// Longest time for a call to a peer.
 const CALL_TIME: Duration = Duration::from_millis(250);
@@ -99,7 +102,10 @@
                 tokio::spawn(forward_signals(signal_tx));
                 tokio::spawn(send_calls(calls));
                 if let Err(err) = serve(listener, inbound_tx).await {
-                    log::error!("peer server ended: {err}");
+                    log::error!(
+                        event:% = LogEvent::ThreadLost, fault:% = err;
+                        "peer server ended: {err}"
+                    );
                 }
             });
         })?;
@@ -115,7 +121,8 @@
     let (Ok(mut term), Ok(mut interrupt), Ok(mut hangup)) =
         (term, interrupt, hangup)
     else {
-        log::error!("signals cannot be received");
+        let fault = "signals cannot be received";
+        log::error!(event:% = LogEvent::ThreadLost, fault; "{fault}");
         return;
     };
     loop {
--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -10,6 +10,7 @@
     budget::GrantSizer,
     domain::HolderId,
     ports::{KeyedRecord, LendRequest},
+    telemetry::note_unreadable,
 };
 
 /// Part of an account's prepaid total that all routers together keep ahead
@@ -203,12 +204,12 @@
 
     fn apply_one(&mut self, entry: &KeyedRecord, now: Instant) {
         let Some((account, vm)) = split_key(&entry.key) else {
-            log::warn!(key = entry.key.as_str(); "unknown allowance key");
+            note_unreadable(&entry.key, "no key of an allowance");
             return;
         };
         let value = entry.value.as_deref();
         let Some(record) = value.and_then(AllowanceRecord::decode) else {
-            log::warn!(key = entry.key.as_str(); "unreadable allowance");
+            note_unreadable(&entry.key, "no allowance");
             return;
         };
         let seen = self.seen.entry(account.to_owned()).or_default();
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -21,6 +21,7 @@
         KeyedFault, KeyedPort, KeyedRecord, LendRequest, PeerAnswer, PeerCall,
         PeerPort,
     },
+    telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
 
@@ -106,8 +107,7 @@
     changed: Notify,
     urgent: Notify,
     loaded: Cell<bool>,
-    healthy: Cell<bool>,
-    lost_since: Cell<Option<Instant>>,
+    store: DependencyLog,
     reads: Cell<u64>,
     leaving: Cell<bool>,
     borrowing: RefCell<BTreeSet<String>>,
@@ -146,8 +146,7 @@
             changed: Notify::new(),
             urgent: Notify::new(),
             loaded: Cell::new(false),
-            healthy: Cell::new(false),
-            lost_since: Cell::new(None),
+            store: DependencyLog::with_loss("allowance topic"),
             reads: Cell::new(0),
             leaving: Cell::new(false),
             borrowing: RefCell::default(),
@@ -173,7 +172,7 @@
 
     /// Whether the topic answered the last call.
     pub fn is_healthy(&self) -> bool {
-        self.healthy.get()
+        self.store.lost_time().is_none()
     }
 
     /// What is known of an account.
@@ -223,14 +222,14 @@
             if Instant::now() >= deadline {
                 return Err(self.unavailable(account, tokens));
             }
-            let lacks = !self.healthy.get() || known;
+            let lacks = !self.is_healthy() || known;
             let due = borrowed_at.is_none_or(|t| t.elapsed() >= BORROW_PERIOD);
             if lacks && due && !self.borrowing.borrow().contains(account) {
                 borrowed_at = Some(Instant::now());
                 if self.borrow(account, tokens).await {
                     continue;
                 }
-                if !self.healthy.get() && self.loaded.get() {
+                if !self.is_healthy() && self.loaded.get() {
                     // Neither the topic nor a peer can give tokens now.
                     return Err(self.unavailable(account, tokens));
                 }
@@ -283,7 +282,7 @@
 
     fn unavailable(&self, account: &str, tokens: u64) -> CallError {
         let AllowanceView { free, held, lost, available } = self.view(account);
-        let reachable = self.healthy.get();
+        let reachable = self.is_healthy();
         let prepaid = self.prepaid.borrow().get(account).copied();
         let prepaid = prepaid.unwrap_or(0);
         let message = format!(
@@ -292,7 +291,7 @@
              reachable: {reachable}"
         );
         let error = CallError::new(ErrorKind::BudgetUnavailable, message);
-        let lost_for = self.lost_since.get().map(|since| since.elapsed());
+        let lost_for = self.store.lost_time();
         match lost_for {
             Some(time) => error.with_retry_wait(outage_left(time)),
             None => error,
@@ -343,6 +342,7 @@
             };
             let now = Instant::now();
             log::info!(
+                event:% = LogEvent::TokensBorrowed,
                 account, tokens = reply.tokens, peer = open.vm.as_str();
                 "tokens borrowed"
             );
@@ -366,12 +366,18 @@
         let peer = request.to.vm.as_str();
         if request.want == 0 {
             let tokens = book.take_back(request);
-            log::info!(account, tokens, peer; "loan taken back");
+            log::info!(
+                event:% = LogEvent::LoanReturned, account, tokens, peer;
+                "loan taken back"
+            );
             return 0;
         }
         let tokens = book.lend(request);
         if tokens > 0 {
-            log::info!(account, tokens, peer; "tokens lent");
+            log::info!(
+                event:% = LogEvent::TokensLent, account, tokens, peer;
+                "tokens lent"
+            );
         }
         tokens
     }
@@ -420,7 +426,7 @@
                 self.ports.timer.sleep(RETRY_DELAY).await;
                 continue;
             }
-            self.note_health(true);
+            self.store.note_answer();
             let is_idle = self.book.borrow().is_idle();
             let factor = if is_idle { IDLE_FACTOR } else { 1 };
             let pause = self.options.settle_interval * factor;
@@ -516,20 +522,10 @@
     }
 
     fn note_fault(&self, fault: &KeyedFault) {
-        log::debug!("allowance topic: {fault}");
-        self.note_health(false);
+        self.store.note_fault(fault);
         self.changed.notify_waiters();
     }
 
-    fn note_health(&self, healthy: bool) {
-        if self.healthy.replace(healthy) == healthy {
-            return;
-        }
-        self.lost_since.set((!healthy).then(Instant::now));
-        let state = if healthy { "regained" } else { "lost" };
-        log::info!(dependency = "allowance topic"; "dependency {state}");
-    }
-
     /// Gives everything back that no request needs, waiting up to `time`.
     ///
     /// Returns `false` if the topic did not take the records.
--- a/src/bin/magnolia-router.rs
+++ b/src/bin/magnolia-router.rs
@@ -8,6 +8,7 @@
         RouterSettings,
         router::RouterProcess,
         runtime::{EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch},
+        telemetry::LogEvent,
     },
 };
 
@@ -36,12 +37,13 @@
     let process = match process {
         Ok(process) => process,
         Err(fault) => {
-            log::error!("{fault}");
+            log::error!(
+                event:% = LogEvent::StartFailed, fault:%; "{fault}"
+            );
             return ExitCode::from(EXIT_START);
         }
     };
     if process.serve().await.finish().await {
-        log::info!("router left");
         return ExitCode::SUCCESS;
     }
     ExitCode::from(EXIT_UNSETTLED)
--- a/src/budget/keeper/claims.rs
+++ b/src/budget/keeper/claims.rs
@@ -80,7 +80,7 @@
         let partition = self.partition(account);
         loop {
             let changed = self.changed.notified();
-            if !self.log_healthy.get() {
+            if !self.is_log_healthy() {
                 return false;
             }
             let ready = {
--- a/src/budget/keeper/follow.rs
+++ b/src/budget/keeper/follow.rs
@@ -76,7 +76,7 @@
                 return;
             }
         };
-        self.log_healthy.set(true);
+        self.log_state.note_answer();
         {
             let mut state = self.state.borrow_mut();
             let state = &mut *state;
@@ -99,9 +99,7 @@
     }
 
     pub(super) fn note_log_fault(&self, fault: &LogFault) {
-        if self.log_healthy.replace(false) {
-            log::warn!("log unavailable: {fault}");
-        }
+        self.log_state.note_fault(fault);
         self.changed.notify_waiters();
     }
 
@@ -138,7 +136,7 @@
             }
             self.ports.timer.sleep(LOG_RETRY_DELAY).await;
         }
-        self.log_healthy.set(true);
+        self.log_state.note_answer();
         let mut state = self.state.borrow_mut();
         state.outbox.confirm(partition);
         state.appends += 1;
--- a/src/budget/keeper/mod.rs
+++ b/src/budget/keeper/mod.rs
@@ -41,6 +41,7 @@
     membership::VmDirectory,
     ports::{LogPort, PeerPort, RelayedBill, UpstreamPort},
     streams::StreamFollower,
+    telemetry::DependencyLog,
     timer::TimerService,
 };
 
@@ -171,7 +172,7 @@
     urgent: Notify,
     relayed: Notify,
     resubscribed: Notify,
-    log_healthy: Cell<bool>,
+    log_state: DependencyLog,
     leaving: Cell<bool>,
 }
 
@@ -204,7 +205,7 @@
             urgent: Notify::new(),
             relayed: Notify::new(),
             resubscribed: Notify::new(),
-            log_healthy: Cell::new(true),
+            log_state: DependencyLog::new("log"),
             leaving: Cell::new(false),
         }
     }
@@ -216,7 +217,7 @@
 
     /// Whether the last call to the log succeeded.
     pub fn is_log_healthy(&self) -> bool {
-        self.log_healthy.get()
+        self.log_state.lost_time().is_none()
     }
 
     /// The number of appends made so far.
--- a/src/budget/keeper/reserve.rs
+++ b/src/budget/keeper/reserve.rs
@@ -181,7 +181,7 @@
         let free = ledger.budgets.get(name).map_or(0, |known| known.free);
         let left = free + ledger.held(name);
         let lenders = lenders_of(ledger, budget, &self.ports);
-        let healthy = self.log_healthy.get();
+        let healthy = self.is_log_healthy();
         if free >= tokens && healthy {
             let want = wanted(state, name, tokens);
             self.ask_now(state, budget, tokens, want);
@@ -246,7 +246,7 @@
         let free = known.map_or(0, |known| known.free);
         let held = ledger.map_or(0, |l| l.held(budget.as_str()));
         let own = state.holder.totals(budget.as_str());
-        let reachable = self.log_healthy.get();
+        let reachable = self.is_log_healthy();
         let message = format!(
             "no spending rights for {budget} arrived in time: {free} tokens \
              free, {held} held by routers, {} of them here, log reachable: \
@@ -306,7 +306,7 @@
         let LendRequest { to, least, want, .. } = request;
         let lent = state.holder.lend(name, to, *least, *want);
         let left = state.holder.totals(name).available;
-        if left < *want && self.log_healthy.get() {
+        if left < *want && self.is_log_healthy() {
             let followed = state.partitions.get(&partition);
             let ledger = followed.and_then(|f| f.follower.fold());
             let known = ledger.and_then(|ledger| ledger.budgets.get(name));
--- a/src/budget/keeper/standby.rs
+++ b/src/budget/keeper/standby.rs
@@ -12,6 +12,7 @@
 use crate::{
     domain::{BillId, BudgetName, HolderId},
     ports::{PeerCall, RelayBatch, RelayedBill},
+    telemetry::LogEvent,
 };
 
 /// Peers that are tried until one keeps this router's notes.
@@ -155,8 +156,9 @@
             }
         };
         log::info!(
+            event:% = LogEvent::BillRecovered,
             request_id = bill.request_id.as_str(),
-            account = budget.account();
+            account = budget.account(), tokens;
             "bill {} recovered: {tokens} tokens", bill.bill
         );
         self.settle_for_other(&budget, bill.bill, tokens);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use crate::{
     ports::{ForwardCall, ForwardReply, ForwardVerdict, UpstreamFault},
     routing::{HealthChange, UpstreamOutcome, UpstreamSlot},
+    telemetry::LogEvent,
 };
 
 /// How an attempt began.
@@ -182,16 +183,18 @@
             Some(HealthChange::Ejected(time)) => {
                 self.core.metrics.note_event("upstream_ejected");
                 log::info!(
+                    event:% = LogEvent::UpstreamEjected,
                     upstream = upstream.vm.as_str(),
                     service = upstream.service.as_str(),
                     cause:? = outcome,
-                    time_ms = time.as_millis() as u64;
+                    for_ms = time.as_millis() as u64;
                     "upstream ejected"
                 );
             }
             Some(HealthChange::Readmitted) => {
                 self.core.metrics.note_event("upstream_readmitted");
                 log::info!(
+                    event:% = LogEvent::UpstreamReadmitted,
                     upstream = upstream.vm.as_str(),
                     service = upstream.service.as_str();
                     "upstream readmitted"
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -26,7 +26,7 @@
     routing::{
         AdmitRequest, PlacementHint, RetryBudget, UpstreamTable, UpstreamView,
     },
-    telemetry::RouterMetrics,
+    telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
 
@@ -206,6 +206,7 @@
         }
         self.keeper.set_prepaid(catalog.accounts());
         log::info!(
+            event:% = LogEvent::CatalogApplied,
             catalog = version, routes = catalog.route_count();
             "catalog in force"
         );
@@ -268,7 +269,10 @@
     /// Drops an upstream whose address turned out to be another one's.
     pub(super) fn drop_misplaced(&self, upstream: &str) {
         if self.roster.borrow_mut().drop_misplaced(upstream) {
-            log::info!(upstream; "upstream is not at its address any more");
+            log::info!(
+                event:% = LogEvent::UpstreamMisplaced, upstream;
+                "upstream is not at its address any more"
+            );
             self.refresh_upstreams();
         }
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -25,6 +25,7 @@
     error::{CallError, ErrorKind},
     ports::{ForwardReply, ForwardVerdict, UpstreamFault, UpstreamParts},
     routing::{UpstreamOutcome, UpstreamSlot},
+    telemetry::LogEvent,
 };
 
 /// Most upstreams that may refuse a request before it is refused.
@@ -140,6 +141,7 @@
                 core.note_starved();
             }
             log::info!(
+                event:% = LogEvent::RequestFailed,
                 request_id = request.id.as_str(), kind = code.as_str(),
                 retry_ms = error.retry_wait().map_or(0, |w| {
                     w.as_millis() as u64
@@ -157,6 +159,7 @@
     };
     core.metrics.note_answer(account, &outcome);
     log::info!(
+        event:% = LogEvent::RequestEnded,
         request_id = request.id.as_str(),
         account,
         route = request.route.name.as_str(),
@@ -341,6 +344,7 @@
 
     fn log_attempt(&self, upstream: &str, reason: &str) {
         log::info!(
+            event:% = LogEvent::AttemptFailed,
             request_id = self.request.id.as_str(),
             service = self.request.service.as_str(),
             upstream,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,10 @@
 };
 
 use super::GatewayCore;
-use crate::ports::KeyedFault;
+use crate::{
+    ports::KeyedFault,
+    telemetry::{DependencyLog, LogEvent},
+};
 
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -21,35 +24,9 @@
 /// Longest wait of one read of the list of entry VMs.
 const VM_LIST_WAIT: Duration = Duration::from_secs(1);
 
-/// Writes one line when a dependency is lost, and one when it is back.
-struct DependencyLog {
-    name: &'static str,
-    is_lost: bool,
-}
-
-impl DependencyLog {
-    fn new(name: &'static str) -> DependencyLog {
-        DependencyLog { name, is_lost: false }
-    }
-
-    fn note_fault(&mut self, fault: &dyn std::fmt::Display) {
-        if !self.is_lost {
-            log::warn!(dependency = self.name; "dependency lost: {fault}");
-        }
-        self.is_lost = true;
-    }
-
-    fn note_answer(&mut self) {
-        if self.is_lost {
-            log::info!(dependency = self.name; "dependency regained");
-        }
-        self.is_lost = false;
-    }
-}
-
 /// Follows the declarations for as long as the task lives.
 pub(super) async fn run_catalog(core: Rc<GatewayCore>) {
-    let mut dependency = DependencyLog::new("declarations");
+    let dependency = DependencyLog::new("declarations");
     loop {
         let next = core.ports.catalog.next().await;
         match next {
@@ -73,7 +50,7 @@
 
 /// Follows the registered upstreams for as long as the task lives.
 pub(super) async fn run_upstreams(core: Rc<GatewayCore>) {
-    let mut dependency = DependencyLog::new("upstream list");
+    let dependency = DependencyLog::new("upstream list");
     loop {
         let polled = core.ports.upstream_list.poll().await;
         let changed = match polled {
@@ -99,7 +76,7 @@
 
 /// Follows the entry VMs for as long as the task lives.
 pub(super) async fn run_vm_list(core: Rc<GatewayCore>) {
-    let mut dependency = DependencyLog::new("list of entry VMs");
+    let dependency = DependencyLog::new("list of entry VMs");
     loop {
         let since = core.directory.version();
         match core.ports.vm_list.watch(since, VM_LIST_WAIT).await {
@@ -107,6 +84,7 @@
                 dependency.note_answer();
                 if list.version > since {
                     log::info!(
+                        event:% = LogEvent::VmListChanged,
                         vms = list.vms.len(), version = list.version;
                         "list of entry VMs changed"
                     );
@@ -134,7 +112,11 @@
         for change in news {
             let shown = format!("{change:?}");
             if roster.take(change, now) {
-                log::info!("upstream list changed: {shown}");
+                log::info!(
+                    event:% = LogEvent::UpstreamChanged,
+                    change = shown.as_str();
+                    "upstream list changed: {shown}"
+                );
                 changed = true;
             }
         }
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -16,6 +16,7 @@
 use crate::{
     moves::{EvidenceTally, MoveState, Verdict},
     ports::{EvidenceReport, MoveOrder, MoveStatus, PeerCall, VmRole},
+    telemetry::LogEvent,
 };
 
 /// Time between two rounds of the driver.
@@ -208,9 +209,10 @@
             return;
         }
         log::info!(
-            service = order.service.as_str(), target = order.target.as_str(),
+            event:% = LogEvent::MoveOrdered,
+            service = order.service.as_str(), to_version = order.target.as_str(),
             number = order.number,
-            time_ms = order.duration.as_millis() as u64;
+            for_ms = order.duration.as_millis() as u64;
             "version move ordered"
         );
         let service = order.service.clone();
@@ -226,7 +228,8 @@
         if known.take_status(status) {
             let status = format!("{status:?}");
             log::info!(
-                service, target = known.order.target.as_str(),
+                event:% = LogEvent::MoveDecided,
+                service, to_version = known.order.target.as_str(),
                 status = status.as_str(), from;
                 "version move decided"
             );
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -22,7 +22,7 @@
         bind_alone, listen, new_holder,
     },
     routing::UpstreamTable,
-    telemetry::RouterMetrics,
+    telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
 
@@ -104,7 +104,10 @@
                 // Callers may have used their open connections meanwhile.
                 if is_over || self.is_idle() {
                     let cut = self.core.in_progress.get();
-                    log::info!(cut, settled; "process ends");
+                    log::info!(
+                        event:% = LogEvent::ProcessEnded, cut, settled;
+                        "process ends"
+                    );
                     return settled;
                 }
             }
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -21,6 +21,7 @@
         KnownState, MemberNews, MemberStatus, PeerAnswer, PeerCall, PeerPort,
         PingMessage, VmRole,
     },
+    telemetry::LogEvent,
     timer::TimerService,
 };
 
@@ -376,7 +377,10 @@
             }
         }
         for news in expired {
-            log::info!("router on {} is believed dead", news.id.vm);
+            log::info!(
+                event:% = LogEvent::PeerDead, peer = news.id.vm.as_str();
+                "router is believed dead"
+            );
             state.merge(&news);
         }
     }
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -14,6 +14,7 @@
         message_error,
     },
     error::CallError,
+    telemetry::LogEvent,
 };
 
 /// Accepts callers until `stop` is notified.
@@ -81,7 +82,10 @@
     error: &CallError,
 ) -> bool {
     core.metrics().note_answer("", error.kind.code());
-    log::info!(kind = error.kind.code(); "refused: {}", error.message);
+    log::info!(
+        event:% = LogEvent::RequestRefused, kind = error.kind.code();
+        "refused: {}", error.message
+    );
     responder.send(core.error_answer(error)).await.is_ok()
 }
 
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -23,7 +23,7 @@
     error::CallError,
     membership::MemberTable,
     ports::{PeerHandler, PeerPort},
-    telemetry::RouterMetrics,
+    telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
 
@@ -133,7 +133,10 @@
         let stop = self.stop_listening.clone();
         monoio::spawn(run_callers(core.clone(), callers, stop));
         let address = core.settings().listen.callers;
-        log::info!("process serves callers on {address}");
+        log::info!(
+            event:% = LogEvent::ProcessStarted, address:%;
+            "process serves callers"
+        );
         self.into_state()
     }
 }
@@ -155,9 +158,12 @@
     pub async fn serve(mut self) -> ServerProcess<C, Leaving> {
         // A closed channel cannot be told from an order to leave.
         while self.signals.recv().await == Some(ProcessSignal::Reload) {
-            log::info!("reload: settings take effect at the next start");
+            log::info!(
+                event:% = LogEvent::ProcessReload;
+                "reload: settings take effect at the next start"
+            );
         }
-        log::info!("process leaves");
+        log::info!(event:% = LogEvent::ProcessLeaving; "process leaves");
         self.core.set_leaving();
         self.core.members().set_leaving();
         let core = self.core.clone();
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -20,7 +20,7 @@
     membership::MemberTable,
     ports::PeerPort,
     process::ProcessCore,
-    telemetry::{LogContext, RouterMetrics},
+    telemetry::{LogContext, LogEvent, RouterMetrics},
     timer::TimerService,
 };
 
@@ -111,9 +111,11 @@
     };
     core.metrics.note_answer(&context.account, error.kind.code());
     log::info!(
+        event:% = LogEvent::RequestFailed,
         request_id = context.request_id.as_str(),
         account = context.account.as_str(),
-        kind = error.kind.code();
+        kind = error.kind.code(),
+        retry_ms = error.retry_wait().map_or(0, |w| w.as_millis() as u64);
         "request refused: {}", error.message
     );
     if responder.has_begun() {
--- a/src/router/chat/dispatch.rs
+++ b/src/router/chat/dispatch.rs
@@ -21,6 +21,7 @@
         UpstreamFault, UpstreamReply,
     },
     routing::{AdmitRequest, PlacementHint, UpstreamSlot, UpstreamView},
+    telemetry::LogEvent,
 };
 
 /// Path of the endpoint at the engines.
@@ -270,6 +271,7 @@
 
     fn note_failure(&mut self, view: &UpstreamView, fault: &UpstreamFault) {
         log::info!(
+            event:% = LogEvent::AttemptFailed,
             request_id = self.chat.request_id.as_str(),
             account = self.chat.identity.budget.account(),
             upstream = view.vm.as_str();
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -12,6 +12,7 @@
     },
     routing::{SubsetPlan, UpstreamView, upstream_shares},
     streams::StreamFold,
+    telemetry::LogEvent,
     timer::TimerService,
 };
 
@@ -188,7 +189,8 @@
             self.applied_revision.set(revision.number);
             self.applied_ms.set(TimerService::now_ms());
             log::info!(
-                revision = revision.number;
+                event:% = LogEvent::RevisionApplied,
+                revision = revision.number, who = revision.who.as_str();
                 "revision by {} in force: {}", revision.who, revision.why
             );
         }
--- a/src/router/moves.rs
+++ b/src/router/moves.rs
@@ -15,6 +15,7 @@
         MoveStep, MoveStepRecord, Verdict,
     },
     ports::{EvidenceReport, PeerCall, VmRole, VmState},
+    telemetry::LogEvent,
     timer::TimerService,
 };
 
@@ -100,7 +101,10 @@
 
 /// Stops sending to the new version of a move.
 fn trip(core: &RouterCore, id: u64, reason: &str) {
-    log::warn!(move_id = id; "new version stopped: {reason}");
+    log::warn!(
+        event:% = LogEvent::VersionStopped, move_id = id, reason;
+        "new version stopped: {reason}"
+    );
     core.metrics.note_event("move_tripped");
     core.tripped.borrow_mut().insert(id, reason.to_owned());
 }
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -28,7 +28,7 @@
     },
     routing::{RetryBudget, UpstreamTable},
     streams::StreamFollower,
-    telemetry::RouterMetrics,
+    telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
 
@@ -130,17 +130,26 @@
         }
         let drained = self.core.keeper.drain(DRAIN_TIME).await;
         if !drained {
-            log::error!("the log did not take the last settlements");
+            log::error!(
+                event:% = LogEvent::SettlementsUnsaved;
+                "the log did not take the last settlements"
+            );
         }
+        let cut = self.core.in_progress.get();
+        log::info!(
+            event:% = LogEvent::ProcessEnded, cut, settled = drained;
+            "process ends"
+        );
         drained
     }
 
     fn warn_of_loss(&self) {
         let (_, portions) = self.core.keeper.sizes();
+        let in_progress = self.core.in_progress.get();
         log::warn!(
-            "stopping now would cut off {} requests and strand {portions} \
-             portions; a third signal stops",
-            self.core.in_progress.get(),
+            event:% = LogEvent::LeaveRepeated, in_progress, portions;
+            "stopping now would cut off {in_progress} requests and strand \
+             {portions} portions; a third signal stops"
         );
     }
 }
--- a/src/router/service_call.rs
+++ b/src/router/service_call.rs
@@ -21,7 +21,7 @@
     error::{CallError, ErrorKind},
     ports::{UpstreamCall, UpstreamFault, UpstreamLink, UpstreamReply},
     routing::{AdmitRequest, PlacementHint, UpstreamSlot},
-    telemetry::LogContext,
+    telemetry::{LogContext, LogEvent},
 };
 
 /// Largest answer that is kept in the log for repetitions, in bytes.
@@ -301,7 +301,12 @@
         match core.ports.upstreams.connect(address).await {
             Ok(link) => return Ok((slot, link)),
             Err(fault) => {
-                log::info!("{}: {fault}", slot.upstream().vm);
+                log::info!(
+                    event:% = LogEvent::AttemptFailed,
+                    request_id = call.request_id.as_str(),
+                    upstream = slot.upstream().vm.as_str();
+                    "attempt failed: {fault}"
+                );
                 core.metrics.note_event("connect_failed");
                 note_call(core, call, slot.upstream().version.as_str(), true);
                 slot.note_refused();
--- a/src/runtime/launch.rs
+++ b/src/runtime/launch.rs
@@ -7,7 +7,7 @@
 use super::block_on;
 use crate::{
     config::RouterSettings,
-    telemetry::{flush_logging, init_logging},
+    telemetry::{LogEvent, flush_logging, init_logging},
 };
 
 /// Exit code if the settings are faulty.
@@ -50,7 +50,10 @@
     }
     init_logging(&settings.vm);
     let code = block_on(run(settings)).unwrap_or_else(|err| {
-        log::error!("no runtime: {err}");
+        log::error!(
+            event:% = LogEvent::StartFailed, fault:% = err;
+            "no runtime: {err}"
+        );
         ExitCode::from(EXIT_START)
     });
     flush_logging();
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -52,7 +52,7 @@
     let vm = vm.to_owned();
     let env = Env::default().filter_or("MAGNOLIA_LOG", "info");
     let mut builder = Builder::from_env(env);
-    let pipe = PIPE.get_or_init(|| LogPipe::new(io::stdout()));
+    let pipe = PIPE.get_or_init(|| LogPipe::new(&vm, io::stdout()));
     builder.target(Target::Pipe(Box::new(pipe.clone())));
     let quota = Mutex::new(LineQuota::new(Instant::now()));
     builder.format(move |out, record| {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,16 +2,23 @@
 //!
 //! Log lines are JSON objects on standard output. [`LogPipe`] keeps writing
 //! them from ever blocking a request, and [`LineQuota`] bounds them by kind.
-//! `docs/OPERATIONS.md` lists the lines and their fields.
+//! [`LogEvent`] is the closed list of lines, which `docs/OPERATIONS.md`
+//! explains.
 
+mod dependency;
+mod events;
 mod logging;
 mod metrics;
 mod pipe;
 mod quota;
+mod records;
 
 pub use self::{
+    dependency::DependencyLog,
+    events::{COMMON_FIELDS, LineFault, LogEvent, check_line},
     logging::{LogContext, flush_logging, init_logging},
     metrics::RouterMetrics,
     pipe::LogPipe,
     quota::{LineKind, LineQuota},
+    records::note_unreadable,
 };
--- a/src/telemetry/pipe.rs
+++ b/src/telemetry/pipe.rs
@@ -7,6 +7,9 @@
     time::{Duration, Instant},
 };
 
+use super::LogEvent;
+use crate::timer::TimerService;
+
 /// Bytes of lines that may wait to be written.
 const BUFFER_BYTES: usize = 512 * 1024;
 
@@ -20,8 +23,8 @@
     is_writing: bool,
 }
 
-#[derive(Default)]
 struct PipeShared {
+    vm: String,
     state: Mutex<PipeState>,
     changed: Condvar,
 }
@@ -46,7 +49,7 @@
 ///
 /// use magnoliahaven::telemetry::LogPipe;
 ///
-/// let mut pipe = LogPipe::new(std::io::sink());
+/// let mut pipe = LogPipe::new("vm-1", std::io::sink());
 /// pipe.write_all(b"{}\n").unwrap();
 /// assert!(pipe.drain(Duration::from_secs(1)));
 /// ```
@@ -57,8 +60,14 @@
 
 impl LogPipe {
     /// Starts the thread that writes to `output`.
-    pub fn new(output: impl Write + Send + 'static) -> LogPipe {
-        let shared: Arc<PipeShared> = Arc::default();
+    ///
+    /// Lines of the pipe's own carry `vm`.
+    pub fn new(vm: &str, output: impl Write + Send + 'static) -> LogPipe {
+        let shared = Arc::new(PipeShared {
+            vm: vm.to_owned(),
+            state: Mutex::default(),
+            changed: Condvar::default(),
+        });
         let pipe = LogPipe { shared: shared.clone() };
         let name = "logs".to_owned();
         let started = thread::Builder::new()
@@ -129,7 +138,11 @@
             let dropped = std::mem::take(&mut state.dropped);
             if dropped > 0 {
                 let line = serde_json::json!({
+                    "time_ms": TimerService::now_ms(),
                     "level": "WARN",
+                    "vm": shared.vm,
+                    "target": module_path!(),
+                    "event": LogEvent::LinesDropped.name(),
                     "message": "log lines dropped",
                     "dropped": dropped,
                 });
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use magnoliahaven::{ctl::RequestStory, telemetry::LogPipe};
+use magnoliahaven::{
+    ctl::RequestStory,
+    telemetry::{COMMON_FIELDS, LineFault, LogEvent, LogPipe, check_line},
+};
 
 /// An output whose reader has stopped reading.
 struct StuckOutput;
@@ -28,7 +31,7 @@
 
 #[test]
 fn a_reader_that_stops_reading_blocks_nobody() {
-    let mut pipe = LogPipe::new(StuckOutput);
+    let mut pipe = LogPipe::new("vm-1", StuckOutput);
     let line = [b'x'; 200];
     let started = Instant::now();
     for _ in 0..20_000 {
@@ -59,7 +62,7 @@
 #[test]
 fn what_waits_is_written_at_the_end() {
     let output = CountedOutput::default();
-    let mut pipe = LogPipe::new(output.clone());
+    let mut pipe = LogPipe::new("vm-1", output.clone());
     for _ in 0..100 {
         pipe.write_all(b"0123456789").unwrap();
     }
@@ -67,6 +70,47 @@
     assert_eq!(output.bytes.load(Ordering::Relaxed), 1_000);
 }
 
+#[test]
+fn names_of_events_are_unique_and_hide_no_common_field() {
+    let mut names = std::collections::BTreeSet::new();
+    for event in LogEvent::ALL {
+        assert!(names.insert(event.name()), "{event} is there twice");
+        for field in event.fields() {
+            assert!(!COMMON_FIELDS.contains(field), "{event} hides {field}");
+        }
+    }
+}
+
+#[test]
+fn the_operators_page_lists_each_event_with_its_fields() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    for event in LogEvent::ALL {
+        let start = format!("| `{event}` |");
+        let row = page.lines().find(|line| line.starts_with(&start));
+        let row = row.unwrap_or_else(|| panic!("{event} is not listed"));
+        for field in event.fields() {
+            let shown = format!("`{field}`");
+            assert!(row.contains(&shown), "{event} without {field}");
+        }
+    }
+}
+
+#[test]
+fn a_line_beyond_the_list_is_found() {
+    let common = r#""time_ms":1,"level":"INFO","vm":"v","target":"t""#;
+    let line = |rest: &str| format!("{{{common},\"message\":\"m\",{rest}}}");
+    let known = line(r#""event":"peer_dead","peer":"vm-2""#);
+    assert_eq!(check_line(&known).unwrap(), LogEvent::PeerDead);
+    let unknown = check_line(&line(r#""event":"peer_bored""#));
+    assert!(matches!(unknown, Err(LineFault::UnknownEvent { .. })));
+    let short = check_line(&line(r#""event":"peer_dead""#));
+    let Err(LineFault::MissingFields { fields, .. }) = short else {
+        panic!("a line without its field");
+    };
+    assert_eq!(fields, ["peer"]);
+    assert!(matches!(check_line("x"), Err(LineFault::NotJson { .. })));
+}
+
 /// Lines of two routers about three requests, as routers write them.
 const RECORDED: &str = r#"
 {"time_ms":1000,"vm":"vm-1","message":"dependency lost","dependency":"allowance topic"}
