--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -66,6 +66,7 @@
         reader: &mut RequestReader,
         responder: &mut HttpResponder,
     ) -> bool {
+        let request_id = self.ports.front.request_id(&request);
         let call = self.ports.front.decode_call(self, request);
         let call = call.and_then(|call| {
             self.check_leaving(&call)?;
@@ -76,7 +77,7 @@
                 let call = Rc::new(call);
                 dispatch::serve(self, &call, reader, responder).await
             }
-            Err(error) => refuse(self, responder, &error).await,
+            Err(error) => refuse(self, responder, &request_id, &error).await,
         }
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -115,6 +115,9 @@
 
 /// Translates between a wire form and the gateway's types.
 pub trait GatewayFront {
+    /// The identity that a caller gave its request; empty if there is none.
+    fn request_id(&self, request: &HttpRequest) -> String;
+
     /// Understands a request of a caller.
     ///
     /// # Errors
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -79,11 +79,13 @@
 pub(crate) async fn refuse<C: ProcessCore>(
     core: &Rc<C>,
     responder: &mut HttpResponder,
+    request_id: &str,
     error: &CallError,
 ) -> bool {
     core.metrics().note_answer("", error.kind.code());
     log::info!(
-        event:% = LogEvent::RequestRefused, kind = error.kind.code();
+        event:% = LogEvent::RequestRefused, request_id,
+        kind = error.kind.code();
         "refused: {}", error.message
     );
     responder.send(core.error_answer(error)).await.is_ok()
@@ -100,5 +102,5 @@
     };
     responder.reset(true);
     // The caller may be gone, and the connection ends in any case.
-    let _ = refuse(core, responder, &error).await;
+    let _ = refuse(core, responder, "", &error).await;
 }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -68,7 +68,7 @@
     /// A connection could not be accepted.
     AcceptFailed = "accept_failed" ["fault"];
     /// A message was refused before it was a request of an account.
-    RequestRefused = "request_refused" ["kind"];
+    RequestRefused = "request_refused" ["request_id", "kind"];
     /// A request was refused or given up.
     RequestFailed = "request_failed" ["request_id", "kind", "retry_ms"];
     /// A request is over.
@@ -120,8 +120,9 @@
     DependencyRegained = "dependency_regained" ["dependency", "lost_ms"];
     /// A record is not understood and is passed over.
     RecordUnreadable = "record_unreadable" ["record", "fault"];
-    /// Lines did not fit into memory.
-    LinesDropped = "lines_dropped" ["dropped"];
+    /// Lines were not written: the reader was too slow (`memory`), or there
+    /// were too many of one kind (`rate`).
+    LinesDropped = "lines_dropped" ["dropped", "cause"];
 }
 
 impl fmt::Display for LogEvent {
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -15,7 +15,7 @@
     serde_json::{Map, json},
 };
 
-use super::{LineKind, LineQuota, LogPipe};
+use super::{LineKind, LineQuota, LogEvent, LogPipe};
 use crate::timer::TimerService;
 
 /// Longest time for the last lines of a process.
@@ -57,11 +57,15 @@
     let quota = Mutex::new(LineQuota::new(Instant::now()));
     builder.format(move |out, record| {
         let kind = line_kind(record);
-        let taken = match quota.lock() {
-            Ok(mut quota) => quota.take(kind, Instant::now()),
+        let now = Instant::now();
+        let (taken, dropped) = match quota.lock() {
+            Ok(mut quota) => (quota.take(kind, now), quota.take_dropped(now)),
             // Logging goes on without a quota.
-            Err(_) => true,
+            Err(_) => (true, None),
         };
+        if let Some(dropped) = dropped {
+            writeln!(out, "{}", dropped_line(&vm, dropped, "rate"))?;
+        }
         if !taken {
             return Ok(());
         }
@@ -105,6 +109,21 @@
     serde_json::Value::Object(fields)
 }
 
+/// The line that tells of lines that were not written.
+pub(super) fn dropped_line(vm: &str, dropped: u64, cause: &str) -> String {
+    let line = json!({
+        "time_ms": TimerService::now_ms(),
+        "level": Level::Warn.as_str(),
+        "vm": vm,
+        "target": module_path!(),
+        "event": LogEvent::LinesDropped.name(),
+        "message": "log lines dropped",
+        "dropped": dropped,
+        "cause": cause,
+    });
+    line.to_string()
+}
+
 /// What every log line about a request carries.
 #[derive(Clone, Debug, Default)]
 pub struct LogContext {
--- a/src/telemetry/pipe.rs
+++ b/src/telemetry/pipe.rs
@@ -7,8 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::LogEvent;
-use crate::timer::TimerService;
+use super::logging::dropped_line;
 
 /// Bytes of lines that may wait to be written.
 const BUFFER_BYTES: usize = 512 * 1024;
@@ -137,15 +136,7 @@
             let mut lines = std::mem::take(&mut state.buffer);
             let dropped = std::mem::take(&mut state.dropped);
             if dropped > 0 {
-                let line = serde_json::json!({
-                    "time_ms": TimerService::now_ms(),
-                    "level": "WARN",
-                    "vm": shared.vm,
-                    "target": module_path!(),
-                    "event": LogEvent::LinesDropped.name(),
-                    "message": "log lines dropped",
-                    "dropped": dropped,
-                });
+                let line = dropped_line(&shared.vm, dropped, "memory");
                 lines.extend_from_slice(format!("{line}\n").as_bytes());
             }
             lines
--- a/src/telemetry/quota.rs
+++ b/src/telemetry/quota.rs
@@ -1,6 +1,6 @@
 //! How many lines of a kind are logged.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Lines a second about requests that were answered.
 const SUCCESS_RATE: f64 = 100.0;
@@ -11,6 +11,9 @@
 /// Seconds of lines that may come at once.
 const BURST_S: f64 = 2.0;
 
+/// Least time between two lines about lines that were not logged.
+const TELL_PERIOD: Duration = Duration::from_secs(1);
+
 /// What a line is about, for its quota.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LineKind {
@@ -68,6 +71,8 @@
 pub struct LineQuota {
     success: LineBucket,
     other: LineBucket,
+    dropped: u64,
+    told_at: Instant,
 }
 
 impl LineQuota {
@@ -76,15 +81,31 @@
         LineQuota {
             success: LineBucket::new(SUCCESS_RATE, now),
             other: LineBucket::new(OTHER_RATE, now),
+            dropped: 0,
+            told_at: now,
         }
     }
 
     /// Whether a line of a kind may be logged now.
     pub fn take(&mut self, kind: LineKind, now: Instant) -> bool {
-        match kind {
+        let is_taken = match kind {
             LineKind::Success => self.success.take(now),
             LineKind::Other => self.other.take(now),
             LineKind::Warning => true,
+        };
+        self.dropped += u64::from(!is_taken);
+        is_taken
+    }
+
+    /// How many lines were not logged, if that has to be told now.
+    ///
+    /// It is told once a second at most.
+    pub fn take_dropped(&mut self, now: Instant) -> Option<u64> {
+        let age = now.saturating_duration_since(self.told_at);
+        if self.dropped == 0 || age < TELL_PERIOD {
+            return None;
         }
+        self.told_at = now;
+        Some(std::mem::take(&mut self.dropped))
     }
 }
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -12,7 +12,10 @@
 
 use magnoliahaven::{
     ctl::RequestStory,
-    telemetry::{COMMON_FIELDS, LineFault, LogEvent, LogPipe, check_line},
+    telemetry::{
+        COMMON_FIELDS, LineFault, LineKind, LineQuota, LogEvent, LogPipe,
+        check_line,
+    },
 };
 
 /// An output whose reader has stopped reading.
@@ -70,6 +73,19 @@
     assert_eq!(output.bytes.load(Ordering::Relaxed), 1_000);
 }
 
+#[test]
+fn lines_beyond_the_quota_are_counted_and_told_once_a_second() {
+    let start = Instant::now();
+    let mut quota = LineQuota::new(start);
+    let taken = (0..1_000).filter(|_| quota.take(LineKind::Success, start));
+    assert_eq!(taken.count(), 200);
+    assert_eq!(quota.take_dropped(start), None);
+    let later = start + Duration::from_secs(1);
+    assert!(quota.take(LineKind::Other, later));
+    assert_eq!(quota.take_dropped(later), Some(800));
+    assert_eq!(quota.take_dropped(later + Duration::from_secs(2)), None);
+}
+
 #[test]
 fn names_of_events_are_unique_and_hide_no_common_field() {
     let mut names = std::collections::BTreeSet::new();
