--- a/standins/src/fleet/relay.rs
+++ b/standins/src/fleet/relay.rs
@@ -16,7 +16,12 @@
 
 #[derive(Default)]
 struct RelayState {
+    /// Nothing passes to the target.
     cut: AtomicBool,
+    /// Nothing passes back.
+    answers_cut: AtomicBool,
+    /// Milliseconds by which all that passes is late.
+    delay_ms: AtomicU64,
     bytes: AtomicU64,
     open: Mutex<Vec<TcpStream>>,
 }
@@ -55,14 +60,28 @@
         self.address
     }
 
-    /// Cuts the relay.
+    /// Cuts the relay in both directions.
     pub fn cut(&self) {
         self.state.cut.store(true, Ordering::SeqCst);
+        self.cut_answers();
+    }
+
+    /// Cuts the way back only: what is asked is done, and nobody hears of it.
+    pub fn cut_answers(&self) {
+        self.state.answers_cut.store(true, Ordering::SeqCst);
+    }
+
+    /// Makes all that passes late.
+    pub fn slow(&self, delay: Duration) {
+        let delay_ms = delay.as_millis() as u64;
+        self.state.delay_ms.store(delay_ms, Ordering::SeqCst);
     }
 
     /// Heals the relay; connections that stood still are closed.
     pub fn heal(&self) {
         self.state.cut.store(false, Ordering::SeqCst);
+        self.state.answers_cut.store(false, Ordering::SeqCst);
+        self.slow(Duration::ZERO);
         // No code panics while it holds the lock.
         for stream in self.state.open.lock().expect("open").drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
@@ -76,7 +95,7 @@
 }
 
 fn forward(stream: &TcpStream, target: SocketAddr, state: &Arc<RelayState>) {
-    wait_while_cut(state);
+    wait_while(&state.cut);
     let Ok(upstream) = TcpStream::connect(target) else {
         let _ = stream.shutdown(Shutdown::Both);
         return;
@@ -99,28 +118,35 @@
         open.push(keep_upstream);
     }
     let back = state.clone();
-    thread::spawn(move || copy(to, from, &back));
+    thread::spawn(move || copy(to, from, &back, &back.answers_cut));
     let halves = (stream.try_clone(), upstream.try_clone());
     if let (Ok(from), Ok(to)) = halves {
-        copy(from, to, state);
+        copy(from, to, state, &state.cut);
     }
 }
 
-fn wait_while_cut(state: &RelayState) {
-    while state.cut.load(Ordering::SeqCst) {
+fn wait_while(cut: &AtomicBool) {
+    while cut.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(10));
     }
 }
 
 /// Copies bytes until one side closes.
-fn copy(mut from: TcpStream, mut to: TcpStream, state: &RelayState) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    state: &RelayState,
+    cut: &AtomicBool,
+) {
     let mut buffer = vec![0; COPY_BYTES];
     loop {
         let count = match from.read(&mut buffer) {
             Ok(0) | Err(_) => break,
             Ok(count) => count,
         };
-        wait_while_cut(state);
+        let delay_ms = state.delay_ms.load(Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(delay_ms));
+        wait_while(cut);
         state.bytes.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&buffer[..count]).is_err() {
             break;
