--- a/src/bin/magnolia-router.rs
+++ b/src/bin/magnolia-router.rs
@@ -6,9 +6,9 @@
     clap::Parser,
     magnoliahaven::{
         RouterSettings,
+        process::run_process,
         router::RouterProcess,
-        runtime::{EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch},
-        telemetry::LogEvent,
+        runtime::{LaunchOptions, launch},
     },
 };
 
@@ -33,18 +33,6 @@
 }
 
 async fn run(settings: RouterSettings) -> ExitCode {
-    let process = RouterProcess::new(settings).and_then(RouterProcess::start);
-    let process = match process {
-        Ok(process) => process,
-        Err(fault) => {
-            log::error!(
-                event:% = LogEvent::StartFailed, fault:%; "{fault}"
-            );
-            return ExitCode::from(EXIT_START);
-        }
-    };
-    if process.serve().await.finish().await {
-        return ExitCode::SUCCESS;
-    }
-    ExitCode::from(EXIT_UNSETTLED)
+    let started = RouterProcess::new(settings).and_then(RouterProcess::start);
+    run_process(started, RouterProcess::finish).await
 }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,6 +1,6 @@
 //! How a gateway serves callers.
 
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{rc::Rc, time::Instant};
 
 use {bytes::Bytes, http::Response};
 
@@ -8,38 +8,20 @@
 use crate::{
     adapters::http::{HttpRequest, HttpResponder, RequestReader},
     catalog::CallerLimits,
-    config::RouterSettings,
     error::CallError,
-    membership::MemberTable,
-    ports::PeerPort,
-    process::{ProcessCore, refuse},
-    telemetry::RouterMetrics,
-    timer::TimerService,
+    process::{ProcessCore, ProcessView, refuse},
 };
 
 impl ProcessCore for GatewayCore {
-    fn settings(&self) -> &RouterSettings {
-        &self.settings
-    }
-
-    fn metrics(&self) -> &RouterMetrics {
-        &self.metrics
-    }
-
-    fn timer(&self) -> &TimerService {
-        &self.timer
-    }
-
-    fn members(&self) -> &Rc<MemberTable> {
-        &self.members
-    }
-
-    fn peers(&self) -> &Rc<dyn PeerPort> {
-        &self.ports.peers
-    }
-
-    fn load(&self) -> &Cell<usize> {
-        &self.in_progress
+    fn view(&self) -> ProcessView<'_> {
+        ProcessView {
+            settings: &self.settings,
+            metrics: &self.metrics,
+            timer: &self.timer,
+            members: &self.members,
+            peers: &self.ports.peers,
+            load: &self.in_progress,
+        }
     }
 
     fn is_leaving(&self) -> bool {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -230,6 +230,12 @@
         }
     }
 
+    /// Takes the news of another router and answers with those known here.
+    pub fn answer(&self, message: &PingMessage) -> PeerAnswer {
+        self.take(message);
+        PeerAnswer::Pong(self.message())
+    }
+
     /// Makes the next message of this router.
     pub fn message(&self) -> PingMessage {
         let mut state = self.state.borrow_mut();
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -7,7 +7,7 @@
     tokio::sync::Notify,
 };
 
-use super::ProcessCore;
+use super::{ProcessCore, ProcessView};
 use crate::{
     adapters::http::{
         HttpConnection, HttpFault, HttpResponder, MessageLimits, accept_until,
@@ -24,17 +24,17 @@
     stop: Rc<Notify>,
 ) {
     let take = |stream| {
-        let metrics = core.metrics();
+        let ProcessView { metrics, settings, .. } = core.view();
         let open = metrics.connections.get() as usize;
-        if open >= core.settings().limits.connections {
+        if open >= settings.limits.connections {
             metrics.note_event("connection_refused");
             return;
         }
         let core = core.clone();
         monoio::spawn(async move {
-            core.metrics().connections.inc();
+            core.view().metrics.connections.inc();
             serve_connection(&core, stream).await;
-            core.metrics().connections.dec();
+            core.view().metrics.connections.dec();
         });
     };
     accept_until(listener, stop, take).await;
@@ -64,7 +64,7 @@
         // a word would cut off a request that is under way to it.
         let keeps = request.keeps_alive() && !core.is_leaving();
         responder.reset(!keeps);
-        let load = core.load();
+        let ProcessView { load, .. } = core.view();
         load.set(load.get() + 1);
         let served = core.serve_call(request, &mut reader, &mut responder);
         let served = served.await;
@@ -82,7 +82,7 @@
     request_id: &str,
     error: &CallError,
 ) -> bool {
-    core.metrics().note_answer("", error.kind.code());
+    core.view().metrics.note_answer("", error.kind.code());
     log::info!(
         event:% = LogEvent::RequestRefused, request_id,
         kind = error.kind.code();
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -1,7 +1,8 @@
 //! The life of a process.
 
 use std::{
-    cell::Cell, future::Future, marker::PhantomData, rc::Rc, time::Duration,
+    cell::Cell, future::Future, marker::PhantomData, process::ExitCode,
+    rc::Rc, time::Duration,
 };
 
 use {
@@ -11,7 +12,7 @@
     tokio::sync::{Notify, mpsc},
 };
 
-use super::run_callers;
+use super::{StartFault, run_callers};
 use crate::{
     adapters::{
         http::{HttpRequest, HttpResponder, RequestReader},
@@ -23,6 +24,7 @@
     error::CallError,
     membership::MemberTable,
     ports::{PeerHandler, PeerPort},
+    runtime::{EXIT_START, EXIT_UNSETTLED},
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
@@ -30,25 +32,26 @@
 /// How often a leaving process looks at what is still in progress.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 
-/// What a process that serves callers says of itself.
-pub trait ProcessCore: 'static {
+/// What all processes that serve callers have.
+pub struct ProcessView<'a> {
     /// The settings of the process.
-    fn settings(&self) -> &RouterSettings;
-
+    pub settings: &'a RouterSettings,
     /// Metrics.
-    fn metrics(&self) -> &RouterMetrics;
-
+    pub metrics: &'a RouterMetrics,
     /// The timer service.
-    fn timer(&self) -> &TimerService;
-
+    pub timer: &'a TimerService,
     /// The other routers.
-    fn members(&self) -> &Rc<MemberTable>;
-
+    pub members: &'a Rc<MemberTable>,
     /// The link to the other routers.
-    fn peers(&self) -> &Rc<dyn PeerPort>;
-
+    pub peers: &'a Rc<dyn PeerPort>,
     /// The number of requests of callers in progress.
-    fn load(&self) -> &Cell<usize>;
+    pub load: &'a Cell<usize>,
+}
+
+/// What a process that serves callers says of itself.
+pub trait ProcessCore: 'static {
+    /// What all processes have.
+    fn view(&self) -> ProcessView<'_>;
 
     /// Whether the process was told to leave.
     fn is_leaving(&self) -> bool;
@@ -123,16 +126,15 @@
         C: PeerHandler,
     {
         let core = &self.core;
-        monoio::spawn(core.timer().clone().run());
-        let members = core.members().clone();
-        let peers = core.peers().clone();
-        monoio::spawn(members.run(peers, core.timer().clone()));
+        let ProcessView { timer, members, peers, .. } = core.view();
+        monoio::spawn(timer.clone().run());
+        monoio::spawn(members.clone().run(peers.clone(), timer.clone()));
         if let Some(inbound) = self.inbound.take() {
             monoio::spawn(run_inbound(core.clone(), inbound));
         }
         let stop = self.stop_listening.clone();
         monoio::spawn(run_callers(core.clone(), callers, stop));
-        let address = core.settings().listen.callers;
+        let address = core.view().settings.listen.callers;
         log::info!(
             event:% = LogEvent::ProcessStarted, address:%;
             "process serves callers"
@@ -165,10 +167,11 @@
         }
         log::info!(event:% = LogEvent::ProcessLeaving; "process leaves");
         self.core.set_leaving();
-        self.core.members().set_leaving();
+        self.core.view().members.set_leaving();
         let core = self.core.clone();
         monoio::spawn(async move {
-            core.members().tell_all(core.peers().as_ref()).await;
+            let ProcessView { members, peers, .. } = core.view();
+            members.tell_all(peers.as_ref()).await;
         });
         self.into_state()
     }
@@ -177,13 +180,34 @@
 impl<C: ProcessCore> ServerProcess<C, Leaving> {
     /// Whether no request of a caller is in progress.
     pub(crate) fn is_idle(&self) -> bool {
-        self.core.load().get() == 0
+        self.core.view().load.get() == 0
     }
 
     /// Waits until it is time to look again at what is in progress.
     pub(crate) async fn wait_poll(&self) {
-        self.core.timer().sleep(LEAVE_POLL).await;
+        self.core.view().timer.sleep(LEAVE_POLL).await;
+    }
+}
+
+/// Serves to the end of a process that has been started, if it has, and
+/// returns the exit code.
+pub async fn run_process<C: ProcessCore, F: Future<Output = bool>>(
+    started: Result<ServerProcess<C, Serving>, StartFault>,
+    finish: impl FnOnce(ServerProcess<C, Leaving>) -> F,
+) -> ExitCode {
+    let process = match started {
+        Ok(process) => process,
+        Err(fault) => {
+            log::error!(
+                event:% = LogEvent::StartFailed, fault:%; "{fault}"
+            );
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    if finish(process.serve().await).await {
+        return ExitCode::SUCCESS;
     }
+    ExitCode::from(EXIT_UNSETTLED)
 }
 
 /// Answers other routers for as long as the task lives.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,10 +1,11 @@
 //! What the processes that serve callers have in common.
 //!
-//! * [`ProcessCore`] is what a process says of itself: its settings, its
-//!   members, and how it serves one request.
+//! * [`ProcessCore`] is what a process says of itself: a view of what all
+//!   have, and how it serves one request.
 //! * [`ServerProcess`] takes a process through its life: starting, serving,
 //!   leaving. Each state has its own methods, so that a process that has not
 //!   opened its listeners cannot be told to leave.
+//! * [`run_process`] is the body of the binaries.
 //! * `callers` runs one task for each connection of a caller.
 //! * `listen` opens listeners.
 
@@ -18,6 +19,9 @@
     listen::{bind_alone, listen, run_answers},
 };
 pub use self::{
-    life::{Leaving, ProcessCore, ServerProcess, Serving, Starting},
+    life::{
+        Leaving, ProcessCore, ProcessView, ServerProcess, Serving, Starting,
+        run_process,
+    },
     listen::StartFault,
 };
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -1,6 +1,6 @@
 //! How a router serves callers.
 
-use std::{cell::Cell, rc::Rc};
+use std::rc::Rc;
 
 use {
     bytes::Bytes,
@@ -14,14 +14,10 @@
         HttpRequest, HttpResponder, RequestReader, json_response,
     },
     catalog::CallerLimits,
-    config::RouterSettings,
     entry::{EntryAnswer, EntryHealth, rank_entries},
     error::{CallError, ErrorKind},
-    membership::MemberTable,
-    ports::PeerPort,
-    process::ProcessCore,
-    telemetry::{LogContext, LogEvent, RouterMetrics},
-    timer::TimerService,
+    process::{ProcessCore, ProcessView},
+    telemetry::{LogContext, LogEvent},
 };
 
 /// Path of the chat-completions endpoint.
@@ -34,28 +30,15 @@
 const ENTRY_PATH: &str = "/v1/entry";
 
 impl ProcessCore for RouterCore {
-    fn settings(&self) -> &RouterSettings {
-        &self.settings
-    }
-
-    fn metrics(&self) -> &RouterMetrics {
-        &self.metrics
-    }
-
-    fn timer(&self) -> &TimerService {
-        &self.timer
-    }
-
-    fn members(&self) -> &Rc<MemberTable> {
-        &self.members
-    }
-
-    fn peers(&self) -> &Rc<dyn PeerPort> {
-        &self.ports.peers
-    }
-
-    fn load(&self) -> &Cell<usize> {
-        &self.in_progress
+    fn view(&self) -> ProcessView<'_> {
+        ProcessView {
+            settings: &self.settings,
+            metrics: &self.metrics,
+            timer: &self.timer,
+            members: &self.members,
+            peers: &self.ports.peers,
+            load: &self.in_progress,
+        }
     }
 
     fn is_leaving(&self) -> bool {
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -15,10 +15,7 @@
                     self.keeper.keep_for(&batch);
                     PeerAnswer::Done
                 }
-                PeerCall::Ping(message) => {
-                    self.members.take(&message);
-                    PeerAnswer::Pong(self.members.message())
-                }
+                PeerCall::Ping(message) => self.members.answer(&message),
                 PeerCall::PingOther { vm } => {
                     let peers = self.ports.peers.as_ref();
                     PeerAnswer::Reached(self.members.ping(peers, &vm).await)
