--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -330,14 +330,11 @@
                 self.refused(kind, true)
             }
             AttemptStart::Unknown(fault) => {
-                self.log_attempt(&upstream, &fault.to_string());
-                self.excluded.push(upstream);
-                self.lost(&fault)
+                self.after_fault(attempt, upstream, &fault)
             }
             AttemptStart::Silent => {
                 self.log_attempt(&upstream, "no answer in time");
-                let next = attempt.next.take();
-                self.moved_on(upstream, next, &UpstreamFault::TimedOut)
+                self.after_leaving(attempt, upstream, &UpstreamFault::TimedOut)
             }
         }
     }
@@ -368,24 +365,32 @@
         NextStep::End(CallEnd::Failed(CallError::new(kind, message)))
     }
 
-    /// Goes on after a request was taken away from a silent upstream.
-    fn moved_on(
+    /// Goes on after a fault of an upstream that may have run the request.
+    fn after_fault(
         &mut self,
+        attempt: CallAttempt<'a>,
         upstream: String,
-        next: Option<UpstreamSlot>,
         fault: &UpstreamFault,
     ) -> NextStep {
-        self.next = next;
-        self.excluded.push(upstream);
-        self.failure = Some(lost_error(self.request, fault));
-        NextStep::TryAgain
+        self.log_attempt(&upstream, &fault.to_string());
+        self.after_leaving(attempt, upstream, fault)
     }
 
-    /// Goes on after a request that may have run without an answer.
-    fn lost(&mut self, fault: &UpstreamFault) -> NextStep {
+    /// Goes on after an upstream was left that may have run the request.
+    ///
+    /// With a slot at another one, the retry is paid for already.
+    fn after_leaving(
+        &mut self,
+        mut attempt: CallAttempt<'a>,
+        upstream: String,
+        fault: &UpstreamFault,
+    ) -> NextStep {
+        self.next = attempt.next.take();
+        self.excluded.push(upstream);
         let error = lost_error(self.request, fault);
-        let again =
-            self.may_run_again() && self.core.try_retry(&self.request.service);
+        let again = self.next.is_some()
+            || self.may_run_again()
+                && self.core.try_retry(&self.request.service);
         if !again {
             return NextStep::End(CallEnd::Failed(error));
         }
@@ -413,9 +418,7 @@
             Ok(body) => body,
             Err(fault) => {
                 attempt.note(UpstreamOutcome::Lost);
-                self.log_attempt(&upstream, &fault.to_string());
-                self.excluded.push(upstream);
-                return self.lost(&fault);
+                return self.after_fault(attempt, upstream, &fault);
             }
         };
         if status.is_server_error() {
@@ -436,7 +439,7 @@
         drop(attempt);
         if responder.has_begun() {
             // A stream cannot go on with an answer of another kind.
-            let fault = UpstreamFault::Broken { reason: status.to_string() };
+            let fault = UpstreamFault::broken(status);
             let error = lost_error(request, &fault);
             return NextStep::End(CallEnd::Failed(error));
         }
@@ -471,12 +474,7 @@
                 if fault != UpstreamFault::TimedOut {
                     attempt.note(UpstreamOutcome::Lost);
                 }
-                self.log_attempt(&upstream, &fault.to_string());
-                if let Some(next) = attempt.next.take() {
-                    return self.moved_on(upstream, Some(next), &fault);
-                }
-                self.excluded.push(upstream);
-                return self.lost(&fault);
+                return self.after_fault(attempt, upstream, &fault);
             }
         };
         if first {
@@ -520,12 +518,7 @@
             }
             RelayEnd::Silent => UpstreamFault::TimedOut,
         };
-        self.log_attempt(&upstream, &fault.to_string());
-        if let Some(next) = attempt.next.take() {
-            return self.moved_on(upstream, Some(next), &fault);
-        }
-        self.excluded.push(upstream);
-        self.lost(&fault)
+        self.after_fault(attempt, upstream, &fault)
     }
 
     fn relay(&self, hold: &'a TokenHold) -> EventRelay<'a> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -228,16 +228,15 @@
         let part = parts.next_part(deadline).await?;
         let Some(part) = part else {
             if self.scanner.has_partial() && !self.scanner.has_event() {
-                let reason = "the stream ended inside an event".to_owned();
-                return Err(UpstreamFault::Broken { reason });
+                let reason = "the stream ended inside an event";
+                return Err(UpstreamFault::broken(reason));
             }
             self.ended = true;
             return Ok(());
         };
         self.scanner.push(&part);
         if self.scanner.is_oversized() {
-            let reason = "an event is too large".to_owned();
-            return Err(UpstreamFault::Broken { reason });
+            return Err(UpstreamFault::broken("an event is too large"));
         }
         Ok(())
     }
--- a/src/router/chat/dispatch.rs
+++ b/src/router/chat/dispatch.rs
@@ -247,8 +247,7 @@
                 Err(CallError::new(ErrorKind::UpstreamFailed, message))
             }
             status => {
-                let reason = format!("status {status}");
-                let fault = UpstreamFault::Broken { reason };
+                let fault = UpstreamFault::broken(format!("status {status}"));
                 self.note_failure(&view, &fault);
                 self.failure = Some(sent_failure(&fault));
                 Ok(None)
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -257,8 +257,7 @@
         let Some(part) = part else {
             // Without a closing event the answer is not whole.
             if !self.ended {
-                let reason = "the answer ended early".to_owned();
-                return Err(UpstreamFault::Broken { reason });
+                return Err(UpstreamFault::broken("the answer ended early"));
             }
             return Ok(());
         };
@@ -267,8 +266,7 @@
             self.take_event(event);
         }
         if self.scanner.is_oversized() {
-            let reason = "an event is too large".to_owned();
-            return Err(UpstreamFault::Broken { reason });
+            return Err(UpstreamFault::broken("an event is too large"));
         }
         Ok(())
     }
