Log upstreams in doubt, their end, and registrations that are passed over

The logs could not tell a removal that was taken for a lapse from a record that was not believed. Doubt, its end and outdated registrations have lines now, gauges tell how many upstreams are in doubt and when the list was read last, and request_ended has the age of the list when the request left. No decision is changed.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -216,6 +216,12 @@
         self.members.set_known(known);
     }
 
+    /// How long ago the registered upstreams were read.
+    pub(super) fn list_age(&self) -> Duration {
+        let read_at = self.roster.borrow().read_at();
+        read_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
     /// Recomputes this router's share of each upstream.
     pub(super) fn refresh_upstreams(&self) {
         let roster = self.roster.borrow();
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -60,6 +60,8 @@
     upstream: RefCell<String>,
     /// Time until the tokens were set aside.
     tokens_at: Cell<Duration>,
+    /// Age of the list of upstreams when the request left for the last time.
+    list_age: Cell<Duration>,
     /// Time until the request left for the last time.
     sent_at: Cell<Duration>,
     /// Time until the first byte of the answer was there.
@@ -168,6 +170,7 @@
         sends = progress.sends.get(),
         events = progress.events.get(),
         tokens_ms = progress.tokens_at.get().as_millis() as u64,
+        list_age_ms = progress.list_age.get().as_millis() as u64,
         sent_ms = progress.sent_at.get().as_millis() as u64,
         answered_ms = progress.answered_at.get().as_millis() as u64,
         took_ms = took.as_millis() as u64,
@@ -299,6 +302,7 @@
         let note_sent = || {
             progress.may_have_run.set(true);
             progress.sends.set(progress.sends.get() + 1);
+            progress.list_age.set(core.list_age());
             progress.sent_at.set(request.arrived.elapsed());
             hold.note_used(hold.used().max(request.ceiling.prompt));
         };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,8 +7,10 @@
 
 use super::GatewayCore;
 use crate::{
-    ports::KeyedFault,
+    membership::RosterChange,
+    ports::{KeyedFault, UpstreamNews},
     telemetry::{DependencyLog, LogEvent},
+    timer::TimerService,
 };
 
 /// Pause after a failed call.
@@ -101,25 +103,25 @@
 }
 
 impl GatewayCore {
-    fn take_upstream_news(
-        &self,
-        news: Vec<crate::ports::UpstreamNews>,
-    ) -> bool {
+    fn take_upstream_news(&self, news: Vec<UpstreamNews>) -> bool {
         let now = Instant::now();
         let mut roster = self.roster.borrow_mut();
         roster.note_answer(now);
-        let mut changed = roster.expire(now);
-        for change in news {
-            let shown = format!("{change:?}");
-            if roster.take(change, now) {
-                log::info!(
-                    event:% = LogEvent::UpstreamChanged,
-                    change = shown.as_str();
-                    "upstream list changed: {shown}"
-                );
-                changed = true;
+        self.metrics.list_read_at.set((TimerService::now_ms() / 1_000) as i64);
+        let gone = roster.expire(now);
+        let mut changed = !gone.is_empty();
+        for upstream in gone {
+            log_gone(&upstream);
+        }
+        for item in news {
+            let shown = format!("{item:?}");
+            for change in roster.take(item, now) {
+                log_change(&change, &shown, now);
+                changed |= matches!(change, RosterChange::Changed { .. });
             }
         }
+        let doubted = roster.doubted_count();
+        self.metrics.upstreams_doubted.set(doubted as i64);
         changed
     }
 
@@ -131,3 +133,33 @@
         false
     }
 }
+
+fn log_gone(upstream: &str) {
+    log::info!(
+        event:% = LogEvent::UpstreamGone, upstream;
+        "upstream did not come back"
+    );
+}
+
+/// Writes the line of a change; `news` is what the registry told.
+fn log_change(change: &RosterChange, news: &str, now: Instant) {
+    match change {
+        RosterChange::Changed { .. } => log::info!(
+            event:% = LogEvent::UpstreamChanged, change = news;
+            "upstream list changed: {news}"
+        ),
+        RosterChange::Doubted { id, until } => log::info!(
+            event:% = LogEvent::UpstreamDoubted,
+            upstream = id.as_str(),
+            for_ms = until.saturating_duration_since(now).as_millis() as u64;
+            "upstream is not registered any more and may come back"
+        ),
+        RosterChange::Outdated { id, started_ms, sequence } => log::info!(
+            event:% = LogEvent::RegistrationOutdated,
+            upstream = id.as_str(),
+            known_started_ms = *started_ms,
+            known_sequence = *sequence;
+            "an older registration was passed over: {news}"
+        ),
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -17,6 +17,6 @@
 
 pub use self::{
     directory::{VmDirectory, rendezvous_weight},
-    roster::UpstreamRoster,
+    roster::{RosterChange, UpstreamRoster},
     table::{MemberOptions, MemberTable},
 };
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -26,6 +26,33 @@
     doubted: Option<Instant>,
 }
 
+/// What news of the registry did to the belief.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RosterChange {
+    /// The usable upstreams may have changed.
+    Changed {
+        /// The upstream.
+        id: String,
+    },
+    /// The entry was removed and stays in use until it could be back.
+    Doubted {
+        /// The upstream.
+        id: String,
+        /// When the entry is to be taken as gone.
+        until: Instant,
+    },
+    /// The registration is older than the newest one known.
+    Outdated {
+        /// The upstream.
+        id: String,
+        /// When the upstream of the newest one started, in milliseconds
+        /// since the epoch.
+        started_ms: u64,
+        /// The number of the newest one.
+        sequence: u64,
+    },
+}
+
 /// What a router believes about registered upstreams.
 ///
 /// # Example
@@ -41,7 +68,7 @@
     ages: BTreeMap<String, EntryAge>,
     failing_since: Option<Instant>,
     returned: Option<Instant>,
-    is_loaded: bool,
+    read_at: Option<Instant>,
 }
 
 impl UpstreamRoster {
@@ -52,7 +79,18 @@
 
     /// Whether the registry has been read at least once.
     pub fn is_loaded(&self) -> bool {
-        self.is_loaded
+        self.read_at.is_some()
+    }
+
+    /// When the registry was read last.
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
+    /// Entries that were removed and may come back.
+    pub fn doubted_count(&self) -> usize {
+        let doubted = self.entries.values().filter(|e| e.doubted.is_some());
+        doubted.count()
     }
 
     /// Notes that the registry could not be read.
@@ -62,7 +100,7 @@
 
     /// Notes that the registry was read.
     pub fn note_answer(&mut self, now: Instant) {
-        self.is_loaded = true;
+        self.read_at = Some(now);
         let Some(since) = self.failing_since.take() else {
             return;
         };
@@ -71,30 +109,41 @@
         }
     }
 
-    /// Takes a change; `true` if the usable upstreams may have changed.
-    pub fn take(&mut self, news: UpstreamNews, now: Instant) -> bool {
+    /// Takes news; without a change if they do not matter to requests.
+    pub fn take(
+        &mut self,
+        news: UpstreamNews,
+        now: Instant,
+    ) -> Vec<RosterChange> {
         match news {
-            UpstreamNews::Listed(entry) => self.list(entry),
-            UpstreamNews::Removed(id) => self.remove(&id, now),
-            UpstreamNews::Unreadable(id) => self.entries.remove(&id).is_some(),
+            UpstreamNews::Listed(entry) => Vec::from_iter(self.list(entry)),
+            UpstreamNews::Removed(id) => Vec::from_iter(self.remove(id, now)),
+            UpstreamNews::Unreadable(id) => {
+                let known = self.entries.remove(&id);
+                let change = known.map(|_| RosterChange::Changed { id });
+                Vec::from_iter(change)
+            }
             UpstreamNews::OnlyThese(ids) => self.keep_only(&ids, now),
         }
     }
 
-    fn list(&mut self, entry: UpstreamEntry) -> bool {
+    fn list(&mut self, entry: UpstreamEntry) -> Option<RosterChange> {
         let age = (entry.started_ms, entry.sequence);
-        let known = self.ages.get(&entry.id);
-        if known.is_some_and(|known| *known > age) {
-            return false;
-        }
-        self.ages.insert(entry.id.clone(), age);
         let id = entry.id.clone();
+        let known = self.ages.get(&id).copied();
+        if let Some((started_ms, sequence)) = known
+            && (started_ms, sequence) > age
+        {
+            return Some(RosterChange::Outdated { id, started_ms, sequence });
+        }
+        self.ages.insert(id.clone(), age);
         self.drop_former(&entry);
         let fresh = RosterEntry { entry, doubted: None };
         let before = self.entries.insert(id.clone(), fresh);
         let before = before.map(|known| known.entry);
         let after = self.entries.get(&id).map(|known| &known.entry);
-        !same_upstream(before.as_ref(), after)
+        let is_same = same_upstream(before.as_ref(), after);
+        (!is_same).then_some(RosterChange::Changed { id })
     }
 
     /// Drops entries of upstreams that had the address before.
@@ -112,21 +161,24 @@
         self.entries.remove(id).is_some()
     }
 
-    fn remove(&mut self, id: &str, now: Instant) -> bool {
-        let Some(known) = self.entries.get_mut(id) else {
-            return false;
-        };
+    fn remove(&mut self, id: String, now: Instant) -> Option<RosterChange> {
+        let known = self.entries.get_mut(&id)?;
         let returned = self.returned.filter(|t| now - *t < RETURN_TIME);
         if let Some(returned) = returned
             && !known.entry.is_leaving
         {
-            known.doubted.get_or_insert(returned + RETURN_TIME);
-            return false;
+            let until = *known.doubted.get_or_insert(returned + RETURN_TIME);
+            return Some(RosterChange::Doubted { id, until });
         }
-        self.entries.remove(id).is_some()
+        self.entries.remove(&id);
+        Some(RosterChange::Changed { id })
     }
 
-    fn keep_only(&mut self, ids: &[String], now: Instant) -> bool {
+    fn keep_only(
+        &mut self,
+        ids: &[String],
+        now: Instant,
+    ) -> Vec<RosterChange> {
         let listed: BTreeSet<&String> = ids.iter().collect();
         let mut gone = Vec::new();
         for id in self.entries.keys() {
@@ -134,19 +186,17 @@
                 gone.push(id.clone());
             }
         }
-        let mut changed = false;
-        for id in gone {
-            changed |= self.remove(&id, now);
-        }
-        changed
+        gone.into_iter().filter_map(|id| self.remove(id, now)).collect()
     }
 
-    /// Drops doubted entries that did not come back in time.
-    pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.entries.len();
-        self.entries
-            .retain(|_, known| known.doubted.is_none_or(|until| until > now));
-        before != self.entries.len()
+    /// Drops doubted entries that did not come back in time, and returns
+    /// their upstreams.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let is_over = |known: &RosterEntry| {
+            known.doubted.is_some_and(|until| until <= now)
+        };
+        let gone = self.entries.extract_if(.., |_, known| is_over(known));
+        gone.map(|(id, _)| id).collect()
     }
 
     /// The upstreams that take new requests.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -74,7 +74,8 @@
     /// A request is over.
     RequestEnded = "request_ended" [
         "request_id", "account", "route", "catalog", "upstream", "sends",
-        "events", "tokens_ms", "sent_ms", "answered_ms", "took_ms", "outcome",
+        "events", "tokens_ms", "list_age_ms", "sent_ms", "answered_ms",
+        "took_ms", "outcome",
     ];
     /// An upstream did not serve a request.
     AttemptFailed = "attempt_failed" ["request_id", "upstream"];
@@ -88,6 +89,15 @@
     UpstreamReadmitted = "upstream_readmitted" ["upstream", "service"];
     /// A registration came, changed or went.
     UpstreamChanged = "upstream_changed" ["change"];
+    /// A registration was removed; the upstream stays in use for a time, in
+    /// case it comes back.
+    UpstreamDoubted = "upstream_doubted" ["upstream", "for_ms"];
+    /// An upstream whose registration was removed did not come back.
+    UpstreamGone = "upstream_gone" ["upstream"];
+    /// A registration is older than the newest one known and is passed over.
+    RegistrationOutdated = "registration_outdated" [
+        "upstream", "known_started_ms", "known_sequence",
+    ];
     /// An address belongs to another upstream now.
     UpstreamMisplaced = "upstream_misplaced" ["upstream"];
     /// A version of the declarations is in force.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -37,6 +37,11 @@
     pub catalog_version: IntGauge,
     /// Upstreams in use.
     pub upstreams: IntGauge,
+    /// Upstreams in use whose registration was removed.
+    pub upstreams_doubted: IntGauge,
+    /// When the registered upstreams were read last, in seconds since the
+    /// epoch.
+    pub list_read_at: IntGauge,
     /// Routers on the list of entry VMs.
     pub entry_vms: IntGauge,
     /// Whether the store of prepaid tokens answers.
@@ -109,6 +114,14 @@
                 "Version of the catalog in force; 0 before the first one.",
             ),
             upstreams: gauge("magnolia_upstreams", "Upstreams in use."),
+            upstreams_doubted: gauge(
+                "magnolia_upstreams_doubted",
+                "Upstreams in use whose registration was removed.",
+            ),
+            list_read_at: gauge(
+                "magnolia_upstream_list_read_timestamp_seconds",
+                "When the registered upstreams were read last.",
+            ),
             entry_vms: gauge(
                 "magnolia_entry_vms",
                 "Routers on the list of entry VMs.",
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -15,7 +15,7 @@
         },
         entry::{EntryHealth, pick_entries},
         gateway::{LeavePlan, ServiceMove},
-        membership::{UpstreamRoster, rendezvous_weight},
+        membership::{RosterChange, UpstreamRoster, rendezvous_weight},
         ports::{MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews},
         routing::{
             AffinityBook, HealthChange, PlacementCandidate, PlacementHint,
@@ -108,12 +108,15 @@
     let back = start + Duration::from_secs(6);
     roster.note_fault(lost);
     roster.note_answer(back);
-    roster.take(UpstreamNews::Removed("a".to_owned()), back);
+    let changes = roster.take(UpstreamNews::Removed("a".to_owned()), back);
+    assert!(matches!(changes[..], [RosterChange::Doubted { .. }]));
     roster.take(UpstreamNews::Removed("b".to_owned()), back);
     assert_eq!(roster.usable().count(), 2);
+    assert_eq!(roster.doubted_count(), 2);
     let renewed = back + Duration::from_secs(1);
     roster.take(UpstreamNews::Listed(upstream("a", 2)), renewed);
-    assert!(roster.expire(back + Duration::from_millis(2_300)));
+    let gone = roster.expire(back + Duration::from_millis(2_300));
+    assert_eq!(gone, ["b"]);
     let left: Vec<&str> = roster.usable().map(|e| e.id.as_str()).collect();
     assert_eq!(left, ["a"]);
 }
@@ -124,14 +127,19 @@
     let mut roster = UpstreamRoster::new();
     roster.note_answer(now);
     roster.take(UpstreamNews::Listed(upstream("a", 1)), now);
-    assert!(roster.take(UpstreamNews::Removed("a".to_owned()), now));
+    let changes = roster.take(UpstreamNews::Removed("a".to_owned()), now);
+    assert_eq!(changes, [RosterChange::Changed { id: "a".to_owned() }]);
     assert_eq!(roster.usable().count(), 0);
     // An entry that was written before the last one says nothing new.
     roster.take(UpstreamNews::Listed(upstream("b", 5)), now);
     let mut leaving = upstream("b", 6);
     leaving.is_leaving = true;
     roster.take(UpstreamNews::Listed(leaving), now);
-    roster.take(UpstreamNews::Listed(upstream("b", 5)), now);
+    let changes = roster.take(UpstreamNews::Listed(upstream("b", 5)), now);
+    let id = "b".to_owned();
+    let outdated =
+        RosterChange::Outdated { id, started_ms: 1_000, sequence: 6 };
+    assert_eq!(changes, [outdated]);
     assert_eq!(roster.usable().count(), 0);
     roster.take(UpstreamNews::Listed(upstream("c", 1)), now);
     roster.take(UpstreamNews::OnlyThese(vec!["b".to_owned()]), now);
