--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -121,6 +121,24 @@
     assert_eq!(left, ["a"]);
 }
 
+/// What was seen in an incident: the registry was out of reach from 2.2 to
+/// 14.6 s, and at 14.8 s an upstream took its registration away.
+#[test]
+fn a_removal_after_an_outage_is_no_lapse() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut roster = UpstreamRoster::new();
+    roster.note_answer(start);
+    roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
+    roster.note_fault(at(2_200));
+    roster.note_answer(at(14_654));
+    roster.take(UpstreamNews::Listed(upstream("a", 9)), at(14_654));
+    roster.note_answer(at(15_082));
+    roster.take(UpstreamNews::Removed("a".to_owned()), at(15_082));
+    roster.expire(at(14_806 + 2_000));
+    assert_eq!(roster.usable().count(), 0);
+}
+
 #[test]
 fn outside_an_outage_an_entry_that_is_removed_is_gone_at_once() {
     let now = Instant::now();
