Believe what a worker says after an outage; count doubt from the return

Cause: entries that lapse in an outage come back within two seconds of it, so the roster kept every entry that was removed within 2.2 s after the outage. That included entries that upstreams themselves removed after it, and the time ran from the router's own next read of the list and ended with the read after that. The end therefore lay up to 2.6 s after the removal.

Ruled out: records that were not believed (the new line registration_outdated does not appear), and late reads (the two other entries were read in 0.3 s).

Now only what the first read after an outage misses is in doubt, until two seconds after the store's first answer to any follower, and a timer ends it. What later reads miss was there after the outage, did not lapse in it and is believed at once.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -8,7 +8,7 @@
 use super::GatewayCore;
 use crate::{
     membership::RosterChange,
-    ports::{KeyedFault, UpstreamNews},
+    ports::UpstreamNews,
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -34,6 +34,7 @@
         match next {
             Ok(news) => {
                 dependency.note_answer();
+                core.roster.borrow_mut().note_sign(Instant::now());
                 for order in news.orders {
                     core.take_order(order);
                 }
@@ -44,6 +45,7 @@
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
+                core.roster.borrow_mut().note_fault(Instant::now());
                 core.timer.sleep(RETRY_DELAY).await;
             }
         }
@@ -55,23 +57,23 @@
     let dependency = DependencyLog::new("upstream list");
     loop {
         let polled = core.ports.upstream_list.poll().await;
-        let changed = match polled {
+        let is_read = polled.is_ok();
+        match polled {
             Ok(news) => {
                 dependency.note_answer();
-                core.take_upstream_news(news)
+                core.take_upstream_news(news);
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
-                core.note_upstream_fault(&fault)
+                log::debug!("upstream list: {fault}");
+                core.roster.borrow_mut().note_fault(Instant::now());
             }
-        };
-        if changed {
-            core.refresh_upstreams();
         }
         let reachable = core.keeper.is_healthy();
         core.metrics.store_reachable.set(i64::from(reachable));
         let is_busy = core.in_progress.get() > 0 || core.is_named();
-        let period = if is_busy { UPSTREAM_PERIOD } else { STANDBY_PERIOD };
+        let is_standby = is_read && !is_busy;
+        let period = if is_standby { STANDBY_PERIOD } else { UPSTREAM_PERIOD };
         core.timer.sleep(period).await;
     }
 }
@@ -102,45 +104,61 @@
     }
 }
 
+/// Drops upstreams in doubt when they could not be back any more.
+///
+/// The next read may come later, and the upstreams may have left.
+async fn expire_upstreams(core: Rc<GatewayCore>, until: Instant) {
+    let wait = until.saturating_duration_since(Instant::now());
+    core.timer.sleep(wait).await;
+    let gone = core.roster.borrow_mut().expire(Instant::now());
+    for upstream in &gone {
+        log::info!(
+            event:% = LogEvent::UpstreamGone, upstream = upstream.as_str();
+            "upstream did not come back"
+        );
+    }
+    core.note_doubted();
+    if !gone.is_empty() {
+        core.refresh_upstreams();
+    }
+}
+
 impl GatewayCore {
-    fn take_upstream_news(&self, news: Vec<UpstreamNews>) -> bool {
+    fn take_upstream_news(self: &Rc<Self>, news: Vec<UpstreamNews>) {
         let now = Instant::now();
-        let mut roster = self.roster.borrow_mut();
-        roster.note_answer(now);
+        self.roster.borrow_mut().note_answer(now);
         self.metrics.list_read_at.set((TimerService::now_ms() / 1_000) as i64);
-        let gone = roster.expire(now);
-        let mut changed = !gone.is_empty();
-        for upstream in gone {
-            log_gone(&upstream);
-        }
+        let mut has_changed = false;
+        let mut doubt_end = None;
         for item in news {
             let shown = format!("{item:?}");
-            for change in roster.take(item, now) {
+            let changes = self.roster.borrow_mut().take(item, now);
+            for change in changes {
                 log_change(&change, &shown, now);
-                changed |= matches!(change, RosterChange::Changed { .. });
+                match change {
+                    RosterChange::Changed { .. } => has_changed = true,
+                    RosterChange::Doubted { until, .. } => {
+                        doubt_end = Some(until);
+                    }
+                    RosterChange::Outdated { .. } => {}
+                }
             }
         }
-        let doubted = roster.doubted_count();
-        self.metrics.upstreams_doubted.set(doubted as i64);
-        changed
+        self.note_doubted();
+        if let Some(until) = doubt_end {
+            monoio::spawn(expire_upstreams(self.clone(), until));
+        }
+        if has_changed {
+            self.refresh_upstreams();
+        }
     }
 
-    fn note_upstream_fault(&self, fault: &KeyedFault) -> bool {
-        log::debug!("upstream list: {fault}");
-        let now = Instant::now();
-        let mut roster = self.roster.borrow_mut();
-        roster.note_fault(now);
-        false
+    fn note_doubted(&self) {
+        let doubted = self.roster.borrow().doubted_count();
+        self.metrics.upstreams_doubted.set(doubted as i64);
     }
 }
 
-fn log_gone(upstream: &str) {
-    log::info!(
-        event:% = LogEvent::UpstreamGone, upstream;
-        "upstream did not come back"
-    );
-}
-
 /// Writes the line of a change; `news` is what the registry told.
 fn log_change(change: &RosterChange, news: &str, now: Instant) {
     match change {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,17 +6,22 @@
 //!
 //! [`UpstreamRoster`] holds the upstreams that have registered themselves.
 //!
+//! [`OutageWatch`] tells when entries of a registry may have lapsed although
+//! their owners live.
+//!
 //! [`MemberTable`] adds what the routers find out from each other. Each one
 //! probes one other router in each period and passes news on with the
 //! probes, so that the cost of a router does not grow with their number.
 //! `docs/design/membership.md` weighs the ways and gives the measured cost.
 
 mod directory;
+mod outage;
 mod roster;
 mod table;
 
 pub use self::{
     directory::{VmDirectory, rendezvous_weight},
+    outage::OutageWatch,
     roster::{RosterChange, UpstreamRoster},
     table::{MemberOptions, MemberTable},
 };
--- /dev/null
+++ b/src/membership/outage.rs
@@ -0,0 +1,71 @@
+//! Outages of a registry in which entries lapse.
+//!
+//! An entry has to be renewed again and again. While the registry is out of
+//! reach nobody can, and some entries lapse although their owners live.
+//! They are renewed soon after the registry is back. A reader that wants to
+//! wait for that has to count from the return itself, not from its own next
+//! read, which may come much later.
+
+use std::time::{Duration, Instant};
+
+/// Entries that lapsed in an outage are back within this time after it, if
+/// their owners live.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// Calls that fail for longer than this are an outage.
+const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
+
+/// When a registry was out of reach, as all calls to it have shown.
+///
+/// # Example
+///
+/// ```
+/// use std::time::{Duration, Instant};
+///
+/// use magnoliahaven::membership::OutageWatch;
+///
+/// let start = Instant::now();
+/// let returned = start + Duration::from_secs(9);
+/// let mut outage = OutageWatch::new();
+/// outage.note_fault(start);
+/// outage.note_answer(returned);
+/// let lapse_end = returned + Duration::from_secs(2);
+/// assert_eq!(outage.lapse_end(Some(start)), Some(lapse_end));
+/// // What was there after the return did not lapse in the outage.
+/// assert_eq!(outage.lapse_end(Some(returned)), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct OutageWatch {
+    failing_since: Option<Instant>,
+    returned: Option<Instant>,
+}
+
+impl OutageWatch {
+    /// Creates the watch of a registry that has not failed yet.
+    pub fn new() -> OutageWatch {
+        OutageWatch::default()
+    }
+
+    /// Notes that a call got no answer.
+    pub fn note_fault(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Notes that a call was answered.
+    pub fn note_answer(&mut self, now: Instant) {
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        if now - since >= OUTAGE_TIME {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Until when entries may come back that were there at `read_at` and are
+    /// missing now; `None` if there was no outage since.
+    pub fn lapse_end(&self, read_at: Option<Instant>) -> Option<Instant> {
+        let returned = self.returned?;
+        let read_before = read_at.is_some_and(|at| at < returned);
+        read_before.then(|| returned + RETURN_TIME)
+    }
+}
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -1,20 +1,19 @@
 //! The upstreams that have registered themselves.
+//!
+//! An upstream that leaves says so or takes its entry away; either way it
+//! gets nothing more. While the registry is out of reach, entries lapse
+//! although their upstreams live. So what turns out to be missing in the
+//! first read after an outage stays in use until it could be back. What is
+//! removed later did not lapse in the outage and is believed at once.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
+use super::OutageWatch;
 use crate::ports::{UpstreamEntry, UpstreamNews};
 
-/// Entries that lapsed while the registry was out of reach are back within
-/// this time after its return, if their upstreams live.
-const RETURN_TIME: Duration = Duration::from_millis(2_200);
-
-/// Registry calls that fail for longer than this are an outage, in which
-/// entries may lapse although their upstreams live.
-const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
-
 /// The identity and age of an entry: the start of its upstream and the
 /// number of the entry since then.
 type EntryAge = (u64, u64);
@@ -66,9 +65,10 @@
 pub struct UpstreamRoster {
     entries: BTreeMap<String, RosterEntry>,
     ages: BTreeMap<String, EntryAge>,
-    failing_since: Option<Instant>,
-    returned: Option<Instant>,
+    outage: OutageWatch,
     read_at: Option<Instant>,
+    /// Until when entries stay in use that the current read removes.
+    lapse_end: Option<Instant>,
 }
 
 impl UpstreamRoster {
@@ -93,20 +93,22 @@
         doubted.count()
     }
 
-    /// Notes that the registry could not be read.
+    /// Notes that a call to the registry got no answer.
     pub fn note_fault(&mut self, now: Instant) {
-        self.failing_since.get_or_insert(now);
+        self.outage.note_fault(now);
+    }
+
+    /// Notes that the registry has answered a call that told nothing of the
+    /// upstreams.
+    pub fn note_sign(&mut self, now: Instant) {
+        self.outage.note_answer(now);
     }
 
-    /// Notes that the registry was read.
+    /// Notes that the upstreams were read; the news of the read follow.
     pub fn note_answer(&mut self, now: Instant) {
+        self.outage.note_answer(now);
+        self.lapse_end = self.outage.lapse_end(self.read_at);
         self.read_at = Some(now);
-        let Some(since) = self.failing_since.take() else {
-            return;
-        };
-        if now - since >= OUTAGE_TIME {
-            self.returned = Some(now);
-        }
     }
 
     /// Takes news; without a change if they do not matter to requests.
@@ -163,11 +165,11 @@
 
     fn remove(&mut self, id: String, now: Instant) -> Option<RosterChange> {
         let known = self.entries.get_mut(&id)?;
-        let returned = self.returned.filter(|t| now - *t < RETURN_TIME);
-        if let Some(returned) = returned
+        let lapse_end = self.lapse_end.filter(|until| *until > now);
+        if let Some(until) = lapse_end
             && !known.entry.is_leaving
         {
-            let until = *known.doubted.get_or_insert(returned + RETURN_TIME);
+            known.doubted = Some(until);
             return Some(RosterChange::Doubted { id, until });
         }
         self.entries.remove(&id);
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -139,6 +139,33 @@
     assert_eq!(roster.usable().count(), 0);
 }
 
+/// The time in which a lapsed entry may come back begins with the first
+/// answer of the registry, whatever it was asked for.
+#[test]
+fn doubt_is_counted_from_the_return_of_the_registry() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut roster = UpstreamRoster::new();
+    roster.note_answer(start);
+    roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
+    roster.note_fault(at(2_200));
+    roster.note_sign(at(14_090));
+    roster.note_answer(at(15_498));
+    let changes =
+        roster.take(UpstreamNews::Removed("a".to_owned()), at(15_498));
+    let doubted =
+        RosterChange::Doubted { id: "a".to_owned(), until: at(16_090) };
+    assert_eq!(changes, [doubted]);
+    assert_eq!(roster.expire(at(16_090)), ["a"]);
+    // A read so late that nothing could come back any more.
+    roster.take(UpstreamNews::Listed(upstream("b", 1)), at(17_000));
+    roster.note_fault(at(18_000));
+    roster.note_sign(at(20_000));
+    roster.note_answer(at(22_500));
+    roster.take(UpstreamNews::Removed("b".to_owned()), at(22_500));
+    assert_eq!(roster.usable().count(), 0);
+}
+
 #[test]
 fn outside_an_outage_an_entry_that_is_removed_is_gone_at_once() {
     let now = Instant::now();
