Log and count appends of token records that are outrun

The logs of its VM show nothing taken for 8 s with 18.5 million tokens free and the store reachable; they cannot tell appends that others outrun from calls that do not end. A line a second and a counter tell now.

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -34,6 +34,9 @@
 /// Longest random pause before an append that another VM outran is repeated.
 const CONFLICT_DELAY_MS: u64 = 12;
 
+/// Time between two lines about appends that others outrun.
+const OUTRUN_PERIOD: Duration = Duration::from_secs(1);
+
 /// How often a waiting request looks at the state anew.
 const WAIT_POLL: Duration = Duration::from_millis(40);
 
@@ -109,6 +112,7 @@
     loaded: Cell<bool>,
     store: DependencyLog,
     reads: Cell<u64>,
+    conflicts: Cell<u64>,
     leaving: Cell<bool>,
     borrowing: RefCell<BTreeSet<String>>,
     last_loan: Cell<u64>,
@@ -148,6 +152,7 @@
             loaded: Cell::new(false),
             store: DependencyLog::with_loss("allowance topic"),
             reads: Cell::new(0),
+            conflicts: Cell::new(0),
             leaving: Cell::new(false),
             borrowing: RefCell::default(),
             last_loan: Cell::new(0),
@@ -175,6 +180,11 @@
         self.store.lost_time().is_none()
     }
 
+    /// Appends that another router outran, since the last call.
+    pub fn take_conflicts(&self) -> u64 {
+        self.conflicts.take()
+    }
+
     /// What is known of an account.
     pub fn view(&self, account: &str) -> AllowanceView {
         let prepaid = self.prepaid.borrow().get(account).copied();
@@ -442,6 +452,8 @@
 
     /// Reads everything new, then writes what has changed here.
     async fn sync(&self) -> Result<(), KeyedFault> {
+        let mut told = Instant::now();
+        let mut tries = 0;
         loop {
             self.read_all().await?;
             let draft = self.draft();
@@ -451,6 +463,16 @@
             match self.append(&draft).await {
                 Ok(()) => return Ok(()),
                 Err(KeyedFault::Moved) => {
+                    tries += 1;
+                    self.conflicts.set(self.conflicts.get() + 1);
+                    if told.elapsed() >= OUTRUN_PERIOD {
+                        told = Instant::now();
+                        log::info!(
+                            event:% = LogEvent::AppendOutrun,
+                            tries, accounts = draft.records.len();
+                            "other routers were faster each time"
+                        );
+                    }
                     let delay = rand::random::<u64>() % CONFLICT_DELAY_MS;
                     let delay = Duration::from_millis(delay);
                     self.ports.timer.sleep(delay).await;
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -116,6 +116,9 @@
     LoanReturned = "loan_returned" ["account", "tokens", "peer"];
     /// The bill of a dead router was settled.
     BillRecovered = "bill_recovered" ["request_id", "account", "tokens"];
+    /// Other routers have changed the records each time before this one's
+    /// append arrived.
+    AppendOutrun = "append_outrun" ["tries", "accounts"];
     /// A leaving router could not write its last settlements.
     SettlementsUnsaved = "settlements_unsaved" [];
     /// A move to another version was ordered.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,8 +3,8 @@
 use std::{cell::RefCell, collections::BTreeSet, time::Duration};
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// Client accounts with label values of their own. Further ones share the
@@ -44,6 +44,8 @@
     pub list_read_at: IntGauge,
     /// Routers on the list of entry VMs.
     pub entry_vms: IntGauge,
+    /// Appends of token records that another router outran.
+    pub append_conflicts: IntCounter,
     /// Whether the store of prepaid tokens answers.
     pub store_reachable: IntGauge,
 }
@@ -126,6 +128,11 @@
                 "magnolia_entry_vms",
                 "Routers on the list of entry VMs.",
             ),
+            append_conflicts: IntCounter::new(
+                "magnolia_append_conflicts_total",
+                "Appends of token records that another router outran.",
+            )
+            .expect("valid counter"),
             store_reachable: gauge(
                 "magnolia_store_reachable",
                 "1 while the store of prepaid tokens answers.",
@@ -149,6 +156,9 @@
             Box::new(self.upstreams.clone()),
             Box::new(self.entry_vms.clone()),
             Box::new(self.store_reachable.clone()),
+            Box::new(self.upstreams_doubted.clone()),
+            Box::new(self.list_read_at.clone()),
+            Box::new(self.append_conflicts.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
