Keep VMs on the list that may have lapsed in an outage

Members of the group lapse while nobody can renew. The first one to be back owns all partitions, so it alone is listed until it has renewed twice.

Now VMs that the first list after an outage misses stay known until their routers could be back, 4 s after the store's first answer; what later lists miss is gone. All followers of the store share one watch of outages.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -17,7 +17,7 @@
     config::RouterSettings,
     domain::HolderId,
     error::{CallError, ErrorKind},
-    membership::{MemberTable, UpstreamRoster, VmDirectory},
+    membership::{MemberTable, OutageWatch, UpstreamRoster, VmDirectory},
     ports::{
         CatalogPort, ForwardPort, KeyedPort, KnownState, MovePort, PeerPort,
         UpstreamListPort, VmListPort,
@@ -132,6 +132,8 @@
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
     pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
+    /// When the registries were out of reach.
+    pub(super) outage: RefCell<OutageWatch>,
     pub(super) latencies: RefCell<LatencyBook>,
     pub(super) retries: RefCell<BTreeMap<String, RetryBudget>>,
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -8,7 +8,7 @@
 use super::GatewayCore;
 use crate::{
     membership::RosterChange,
-    ports::UpstreamNews,
+    ports::{UpstreamNews, VmList},
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -34,7 +34,7 @@
         match next {
             Ok(news) => {
                 dependency.note_answer();
-                core.roster.borrow_mut().note_sign(Instant::now());
+                core.outage.borrow_mut().note_answer(Instant::now());
                 for order in news.orders {
                     core.take_order(order);
                 }
@@ -45,7 +45,7 @@
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
-                core.roster.borrow_mut().note_fault(Instant::now());
+                core.outage.borrow_mut().note_fault(Instant::now());
                 core.timer.sleep(RETRY_DELAY).await;
             }
         }
@@ -66,7 +66,7 @@
             Err(fault) => {
                 dependency.note_fault(&fault);
                 log::debug!("upstream list: {fault}");
-                core.roster.borrow_mut().note_fault(Instant::now());
+                core.outage.borrow_mut().note_fault(Instant::now());
             }
         }
         let reachable = core.keeper.is_healthy();
@@ -88,18 +88,11 @@
         match core.ports.vm_list.watch(since, VM_LIST_WAIT).await {
             Ok(list) => {
                 dependency.note_answer();
-                if list.version > since {
-                    log::info!(
-                        event:% = LogEvent::VmListChanged,
-                        vms = list.vms.len(), version = list.version;
-                        "list of entry VMs changed"
-                    );
-                    core.directory.update(list);
-                    core.refresh_upstreams();
-                }
+                core.take_vm_list(list, since);
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
+                core.outage.borrow_mut().note_fault(Instant::now());
                 core.timer.sleep(RETRY_DELAY).await;
             }
         }
@@ -128,7 +121,10 @@
 impl GatewayCore {
     fn take_upstream_news(self: &Rc<Self>, news: Vec<UpstreamNews>) {
         let now = Instant::now();
-        self.roster.borrow_mut().note_answer(now);
+        let mut outage = self.outage.borrow_mut();
+        outage.note_answer(now);
+        self.roster.borrow_mut().begin_read(now, &outage);
+        drop(outage);
         self.metrics.list_read_at.set((TimerService::now_ms() / 1_000) as i64);
         let mut has_changed = false;
         let mut doubt_end = None;
@@ -155,6 +151,30 @@
         }
     }
 
+    fn take_vm_list(&self, list: VmList, since: u64) {
+        let now = Instant::now();
+        let mut outage = self.outage.borrow_mut();
+        outage.note_answer(now);
+        let gone = self.directory.begin_read(now, &outage);
+        drop(outage);
+        let is_new = list.version > since;
+        let version = list.version;
+        if is_new {
+            self.directory.update(list);
+        }
+        if !is_new && gone.is_empty() {
+            return;
+        }
+        log::info!(
+            event:% = LogEvent::VmListChanged,
+            vms = self.directory.vms().len(),
+            version,
+            doubted = self.directory.doubted_count();
+            "list of entry VMs changed"
+        );
+        self.refresh_upstreams();
+    }
+
     fn note_doubted(&self) {
         let doubted = self.roster.borrow().doubted_count();
         self.metrics.upstreams_doubted.set(doubted as i64);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -16,7 +16,9 @@
     adapters::peer::PeerLink,
     allowance::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     config::RouterSettings,
-    membership::{MemberOptions, MemberTable, UpstreamRoster, VmDirectory},
+    membership::{
+        MemberOptions, MemberTable, OutageWatch, UpstreamRoster, VmDirectory,
+    },
     process::{
         Leaving, ProcessLink, ServerProcess, Serving, StartFault, Starting,
         bind_alone, listen, new_holder,
@@ -152,6 +154,7 @@
         catalog: RefCell::new(None),
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
+        outage: RefCell::new(OutageWatch::new()),
         latencies: RefCell::new(LatencyBook::new()),
         retries: RefCell::default(),
     }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -1,23 +1,44 @@
 //! The newest known list of VMs.
+//!
+//! A VM stays on the list only while its router renews that. In an outage
+//! nobody can, and the first list after it names few. VMs that are missing
+//! there stay known until their routers could be back.
 
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
+    time::{Duration, Instant},
 };
 
+use super::OutageWatch;
 use crate::ports::{VmEntry, VmList, VmRole, VmState};
 
+/// Routers that live are on the list again within this time after an
+/// outage: a renewal, and a second one by which earlier members make room.
+const RETURN_TIME: Duration = Duration::from_secs(4);
+
 /// The platform's list of VMs as this router last saw it.
 pub struct VmDirectory {
     vm: String,
     list: RefCell<VmList>,
+    /// Missing VMs that may come back, and until when.
+    doubted: RefCell<BTreeMap<String, Instant>>,
+    read_at: Cell<Option<Instant>>,
+    /// Until when VMs stay known that the current read misses.
+    lapse_end: Cell<Option<Instant>>,
 }
 
 impl VmDirectory {
     /// Creates an empty directory for the router on `vm`.
     pub fn new(vm: impl Into<String>) -> VmDirectory {
-        VmDirectory { vm: vm.into(), list: RefCell::default() }
+        VmDirectory {
+            vm: vm.into(),
+            list: RefCell::default(),
+            doubted: RefCell::default(),
+            read_at: Cell::new(None),
+            lapse_end: Cell::new(None),
+        }
     }
 
     /// The name of this router's VM.
@@ -25,12 +46,55 @@
         &self.vm
     }
 
+    /// Notes that the list was read, and forgets missing VMs that could be
+    /// back by now; returns their names.
+    ///
+    /// [`VmDirectory::update`] follows if the list has changed.
+    pub fn begin_read(
+        &self,
+        now: Instant,
+        outage: &OutageWatch,
+    ) -> Vec<String> {
+        let returned = outage.returned_since(self.read_at.replace(Some(now)));
+        let lapse_end = returned.map(|returned| returned + RETURN_TIME);
+        self.lapse_end.set(lapse_end.filter(|until| *until > now));
+        let mut doubted = self.doubted.borrow_mut();
+        let gone = doubted.extract_if(.., |_, until| *until <= now);
+        let gone: Vec<String> = gone.map(|(vm, _)| vm).collect();
+        let mut known = self.list.borrow_mut();
+        for vm in &gone {
+            known.vms.remove(vm);
+        }
+        gone
+    }
+
     /// Replaces the list, unless it is older than the known one.
-    pub fn update(&self, list: VmList) {
+    ///
+    /// VMs that may have lapsed in an outage stay on it.
+    pub fn update(&self, mut list: VmList) {
         let mut known = self.list.borrow_mut();
-        if list.version > known.version {
-            *known = list;
+        if list.version <= known.version {
+            return;
+        }
+        let mut doubted = self.doubted.borrow_mut();
+        let mut missing = BTreeMap::new();
+        for (vm, entry) in std::mem::take(&mut known.vms) {
+            if list.vms.contains_key(&vm) {
+                continue;
+            }
+            let until = doubted.get(&vm).copied().or(self.lapse_end.get());
+            if let Some(until) = until {
+                missing.insert(vm.clone(), until);
+                list.vms.insert(vm, entry);
+            }
         }
+        *doubted = missing;
+        *known = list;
+    }
+
+    /// How many VMs are known only because they may come back.
+    pub fn doubted_count(&self) -> usize {
+        self.doubted.borrow().len()
     }
 
     /// The version of the known list.
--- a/src/membership/outage.rs
+++ b/src/membership/outage.rs
@@ -8,10 +8,6 @@
 
 use std::time::{Duration, Instant};
 
-/// Entries that lapsed in an outage are back within this time after it, if
-/// their owners live.
-const RETURN_TIME: Duration = Duration::from_millis(2_000);
-
 /// Calls that fail for longer than this are an outage.
 const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -29,10 +25,9 @@
 /// let mut outage = OutageWatch::new();
 /// outage.note_fault(start);
 /// outage.note_answer(returned);
-/// let lapse_end = returned + Duration::from_secs(2);
-/// assert_eq!(outage.lapse_end(Some(start)), Some(lapse_end));
+/// assert_eq!(outage.returned_since(Some(start)), Some(returned));
 /// // What was there after the return did not lapse in the outage.
-/// assert_eq!(outage.lapse_end(Some(returned)), None);
+/// assert_eq!(outage.returned_since(Some(returned)), None);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct OutageWatch {
@@ -61,11 +56,11 @@
         }
     }
 
-    /// Until when entries may come back that were there at `read_at` and are
-    /// missing now; `None` if there was no outage since.
-    pub fn lapse_end(&self, read_at: Option<Instant>) -> Option<Instant> {
-        let returned = self.returned?;
-        let read_before = read_at.is_some_and(|at| at < returned);
-        read_before.then(|| returned + RETURN_TIME)
+    /// When the last outage ended, if that was after `read_at`.
+    ///
+    /// What was there at `read_at` and is missing now may have lapsed in it.
+    pub fn returned_since(&self, read_at: Option<Instant>) -> Option<Instant> {
+        self.returned
+            .filter(|returned| read_at.is_some_and(|at| at < *returned))
     }
 }
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -8,12 +8,16 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use super::OutageWatch;
 use crate::ports::{UpstreamEntry, UpstreamNews};
 
+/// Entries that lapsed in an outage are back within this time after it, if
+/// their upstreams live.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// The identity and age of an entry: the start of its upstream and the
 /// number of the entry since then.
 type EntryAge = (u64, u64);
@@ -65,7 +69,6 @@
 pub struct UpstreamRoster {
     entries: BTreeMap<String, RosterEntry>,
     ages: BTreeMap<String, EntryAge>,
-    outage: OutageWatch,
     read_at: Option<Instant>,
     /// Until when entries stay in use that the current read removes.
     lapse_end: Option<Instant>,
@@ -93,21 +96,10 @@
         doubted.count()
     }
 
-    /// Notes that a call to the registry got no answer.
-    pub fn note_fault(&mut self, now: Instant) {
-        self.outage.note_fault(now);
-    }
-
-    /// Notes that the registry has answered a call that told nothing of the
-    /// upstreams.
-    pub fn note_sign(&mut self, now: Instant) {
-        self.outage.note_answer(now);
-    }
-
     /// Notes that the upstreams were read; the news of the read follow.
-    pub fn note_answer(&mut self, now: Instant) {
-        self.outage.note_answer(now);
-        self.lapse_end = self.outage.lapse_end(self.read_at);
+    pub fn begin_read(&mut self, now: Instant, outage: &OutageWatch) {
+        let returned = outage.returned_since(self.read_at);
+        self.lapse_end = returned.map(|returned| returned + RETURN_TIME);
         self.read_at = Some(now);
     }
 
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -105,7 +105,7 @@
     /// A revision of the configuration is in force.
     RevisionApplied = "revision_applied" ["revision", "who"];
     /// The list of entry VMs has changed.
-    VmListChanged = "vm_list_changed" ["vms", "version"];
+    VmListChanged = "vm_list_changed" ["vms", "version", "doubted"];
     /// Another router is believed dead.
     PeerDead = "peer_dead" ["peer"];
     /// Tokens came from a peer.
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -15,8 +15,14 @@
         },
         entry::{EntryHealth, pick_entries},
         gateway::{LeavePlan, ServiceMove},
-        membership::{RosterChange, UpstreamRoster, rendezvous_weight},
-        ports::{MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews},
+        membership::{
+            OutageWatch, RosterChange, UpstreamRoster, VmDirectory,
+            rendezvous_weight,
+        },
+        ports::{
+            MoveOrder, MoveStatus, UpstreamEntry, UpstreamNews, VmEntry,
+            VmList, VmRole, VmState,
+        },
         routing::{
             AffinityBook, HealthChange, PlacementCandidate, PlacementHint,
             RetryBudget, UpstreamHealth, UpstreamOutcome, placement_rank,
@@ -101,13 +107,15 @@
 fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_could_be_back() {
     let start = Instant::now();
     let mut roster = UpstreamRoster::new();
-    roster.note_answer(start);
+    let mut outage = OutageWatch::new();
+    roster.begin_read(start, &outage);
     roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
     roster.take(UpstreamNews::Listed(upstream("b", 1)), start);
     let lost = start + Duration::from_secs(1);
     let back = start + Duration::from_secs(6);
-    roster.note_fault(lost);
-    roster.note_answer(back);
+    outage.note_fault(lost);
+    outage.note_answer(back);
+    roster.begin_read(back, &outage);
     let changes = roster.take(UpstreamNews::Removed("a".to_owned()), back);
     assert!(matches!(changes[..], [RosterChange::Doubted { .. }]));
     roster.take(UpstreamNews::Removed("b".to_owned()), back);
@@ -128,12 +136,15 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut roster = UpstreamRoster::new();
-    roster.note_answer(start);
+    let mut outage = OutageWatch::new();
+    roster.begin_read(start, &outage);
     roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
-    roster.note_fault(at(2_200));
-    roster.note_answer(at(14_654));
+    outage.note_fault(at(2_200));
+    outage.note_answer(at(14_654));
+    roster.begin_read(at(14_654), &outage);
     roster.take(UpstreamNews::Listed(upstream("a", 9)), at(14_654));
-    roster.note_answer(at(15_082));
+    outage.note_answer(at(15_082));
+    roster.begin_read(at(15_082), &outage);
     roster.take(UpstreamNews::Removed("a".to_owned()), at(15_082));
     roster.expire(at(14_806 + 2_000));
     assert_eq!(roster.usable().count(), 0);
@@ -146,11 +157,13 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut roster = UpstreamRoster::new();
-    roster.note_answer(start);
+    let mut outage = OutageWatch::new();
+    roster.begin_read(start, &outage);
     roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
-    roster.note_fault(at(2_200));
-    roster.note_sign(at(14_090));
-    roster.note_answer(at(15_498));
+    outage.note_fault(at(2_200));
+    outage.note_answer(at(14_090));
+    outage.note_answer(at(15_498));
+    roster.begin_read(at(15_498), &outage);
     let changes =
         roster.take(UpstreamNews::Removed("a".to_owned()), at(15_498));
     let doubted =
@@ -159,18 +172,66 @@
     assert_eq!(roster.expire(at(16_090)), ["a"]);
     // A read so late that nothing could come back any more.
     roster.take(UpstreamNews::Listed(upstream("b", 1)), at(17_000));
-    roster.note_fault(at(18_000));
-    roster.note_sign(at(20_000));
-    roster.note_answer(at(22_500));
+    outage.note_fault(at(18_000));
+    outage.note_answer(at(20_000));
+    outage.note_answer(at(22_500));
+    roster.begin_read(at(22_500), &outage);
     roster.take(UpstreamNews::Removed("b".to_owned()), at(22_500));
     assert_eq!(roster.usable().count(), 0);
 }
 
+fn vm_list(version: u64, vms: &[&str]) -> VmList {
+    let vms = vms.iter().map(|vm| {
+        let entry = VmEntry {
+            role: VmRole::Entry,
+            state: VmState::Live,
+            region: "r".to_owned(),
+            domain: "d".to_owned(),
+            address: ([10, 0, 0, 1], 80).into(),
+            peer_address: None,
+            operator_address: None,
+            capacity: 25,
+            service: String::new(),
+            version: String::new(),
+        };
+        ((*vm).to_owned(), entry)
+    });
+    VmList { version, vms: vms.collect() }
+}
+
+/// What was seen in an incident: after 12 s without the registry the first
+/// list named one VM of eight, and the next one, two seconds later, all.
+#[test]
+fn the_first_list_after_an_outage_drops_no_vm() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let directory = VmDirectory::new("a");
+    let mut outage = OutageWatch::new();
+    directory.begin_read(start, &outage);
+    directory.update(vm_list(1, &["a", "b", "c"]));
+    outage.note_fault(at(2_200));
+    outage.note_answer(at(14_090));
+    directory.begin_read(at(14_831), &outage);
+    directory.update(vm_list(2, &["b"]));
+    assert_eq!(directory.entry_count(), 3);
+    assert_eq!(directory.doubted_count(), 2);
+    // Still missing in the next list, and still in doubt.
+    assert!(directory.begin_read(at(15_100), &outage).is_empty());
+    directory.update(vm_list(3, &["a", "b"]));
+    assert_eq!(directory.entry_count(), 3);
+    // A VM that was there after the outage is believed to be gone.
+    directory.begin_read(at(16_840), &outage);
+    directory.update(vm_list(4, &["a"]));
+    assert_eq!(directory.entry_count(), 2);
+    assert_eq!(directory.begin_read(at(18_090), &outage), ["c"]);
+    assert_eq!(directory.entry_count(), 1);
+}
+
 #[test]
 fn outside_an_outage_an_entry_that_is_removed_is_gone_at_once() {
     let now = Instant::now();
     let mut roster = UpstreamRoster::new();
-    roster.note_answer(now);
+    roster.begin_read(now, &OutageWatch::new());
     roster.take(UpstreamNews::Listed(upstream("a", 1)), now);
     let changes = roster.take(UpstreamNews::Removed("a".to_owned()), now);
     assert_eq!(changes, [RosterChange::Changed { id: "a".to_owned() }]);
@@ -198,11 +259,13 @@
 fn an_address_belongs_to_the_upstream_that_started_last() {
     let start = Instant::now();
     let mut roster = UpstreamRoster::new();
-    roster.note_answer(start);
+    let mut outage = OutageWatch::new();
+    roster.begin_read(start, &outage);
     roster.take(UpstreamNews::Listed(upstream("old", 1)), start);
-    roster.note_fault(start + Duration::from_secs(1));
+    outage.note_fault(start + Duration::from_secs(1));
     let back = start + Duration::from_secs(13);
-    roster.note_answer(back);
+    outage.note_answer(back);
+    roster.begin_read(back, &outage);
     roster.take(UpstreamNews::Removed("old".to_owned()), back);
     let new = UpstreamEntry { started_ms: 5_000, ..upstream("new", 1) };
     roster.take(UpstreamNews::Listed(new), back);
