Grant claims on tokens in the order of the topic

Cause: a VM took tokens by an append that was conditional on the end of the one partition that all VMs write to. Whoever is slower than the others' appends come, by its link or its processor, is outrun each time: 76 times in a row on edge-pwani-e-4, which got one append through in 40 s. Optimistic concurrency without fairness.

Ruled out: calls that do not end (they did until 10.4 s); too few tokens.

Now a record is a claim that is appended without a condition, and the order of the topic decides what of it is granted. Every record counts in full, so nothing is overspent. The book and the keeper are split by job.

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -10,42 +10,22 @@
 use tokio::sync::Notify;
 
 use super::{
-    AllowanceBook, AllowanceDraft, AllowanceView, TokenHold, allowance_key,
+    AllowanceBook, AllowanceView, TokenHold, lending::OpenLoan,
+    sync::AppendState,
 };
 use crate::{
     catalog::AccountSpec,
     domain::HolderId,
     error::{CallError, ErrorKind},
     membership::{MemberTable, VmDirectory},
-    ports::{
-        KeyedFault, KeyedPort, KeyedRecord, LendRequest, PeerAnswer, PeerCall,
-        PeerPort,
-    },
-    telemetry::{DependencyLog, LogEvent},
+    ports::{KeyedPort, PeerPort},
+    telemetry::DependencyLog,
     timer::TimerService,
 };
 
-/// The topic of the records.
-const TOPIC: &str = "keyed.allowance";
-
-/// Pause after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
-/// Longest random pause before an append that another VM outran is repeated.
-const CONFLICT_DELAY_MS: u64 = 12;
-
-/// Time between two lines about appends that others outrun.
-const OUTRUN_PERIOD: Duration = Duration::from_secs(1);
-
 /// How often a waiting request looks at the state anew.
 const WAIT_POLL: Duration = Duration::from_millis(40);
 
-/// Requests that arrive within this time share one append.
-const GROUP_DELAY: Duration = Duration::from_millis(2);
-
-/// Peers that a waiting request asks for tokens.
-const LENDERS: usize = 3;
-
 /// `Retry-After` for tokens that were lost with routers; only a top-up or
 /// the return of such a router brings them back.
 const STRANDED_RETRY: Duration = Duration::from_secs(5);
@@ -54,16 +34,6 @@
 const OUTAGE_RETRY: [Duration; 2] =
     [Duration::from_secs(1), Duration::from_secs(5)];
 
-/// A router that holds no tokens looks at the topic this much less often.
-const IDLE_FACTOR: u32 = 4;
-
-/// Requests of the same size that a loan covers.
-const LOAN_REQUESTS: u64 = 4;
-
-/// Time between two looks for loans whose answers were lost; longer than a
-/// call to a peer takes.
-const TAKE_BACK_PERIOD: Duration = Duration::from_millis(500);
-
 /// Time between two rounds in which a waiting request asks peers.
 const BORROW_PERIOD: Duration = Duration::from_millis(250);
 
@@ -78,13 +48,6 @@
     pub reserve_time: Duration,
 }
 
-/// A loan that was asked for and whose answer has not arrived.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct OpenLoan {
-    vm: String,
-    request: LendRequest,
-}
-
 /// What a keeper needs from outside.
 #[derive(Clone)]
 pub struct AllowancePorts {
@@ -102,21 +65,23 @@
 
 /// The prepaid tokens of one router.
 pub struct AllowanceKeeper {
-    id: HolderId,
-    options: AllowanceOptions,
-    ports: AllowancePorts,
-    book: RefCell<AllowanceBook>,
-    prepaid: RefCell<BTreeMap<String, u64>>,
-    changed: Notify,
-    urgent: Notify,
-    loaded: Cell<bool>,
-    store: DependencyLog,
-    reads: Cell<u64>,
-    conflicts: Cell<u64>,
-    leaving: Cell<bool>,
-    borrowing: RefCell<BTreeSet<String>>,
-    last_loan: Cell<u64>,
-    open_loans: RefCell<Vec<OpenLoan>>,
+    pub(super) id: HolderId,
+    pub(super) options: AllowanceOptions,
+    pub(super) ports: AllowancePorts,
+    pub(super) book: RefCell<AllowanceBook>,
+    pub(super) prepaid: RefCell<BTreeMap<String, u64>>,
+    pub(super) changed: Notify,
+    pub(super) urgent: Notify,
+    pub(super) loaded: Cell<bool>,
+    pub(super) store: DependencyLog,
+    /// Whole reads of what is new in the topic.
+    pub(super) reads: Cell<u64>,
+    pub(super) cuts: Cell<u64>,
+    pub(super) append: RefCell<AppendState>,
+    pub(super) leaving: Cell<bool>,
+    pub(super) borrowing: RefCell<BTreeSet<String>>,
+    pub(super) last_loan: Cell<u64>,
+    pub(super) open_loans: RefCell<Vec<OpenLoan>>,
 }
 
 /// Tokens that a request waits for, taken back on drop.
@@ -141,6 +106,7 @@
         ports: AllowancePorts,
     ) -> AllowanceKeeper {
         let book = AllowanceBook::new(&id.vm, id.incarnation, options.horizon);
+        let append = RefCell::new(AppendState::new(&id));
         AllowanceKeeper {
             id,
             options,
@@ -152,7 +118,8 @@
             loaded: Cell::new(false),
             store: DependencyLog::with_loss("allowance topic"),
             reads: Cell::new(0),
-            conflicts: Cell::new(0),
+            cuts: Cell::new(0),
+            append,
             leaving: Cell::new(false),
             borrowing: RefCell::default(),
             last_loan: Cell::new(0),
@@ -180,9 +147,9 @@
         self.store.lost_time().is_none()
     }
 
-    /// Appends that another router outran, since the last call.
-    pub fn take_conflicts(&self) -> u64 {
-        self.conflicts.take()
+    /// Claims that were not granted in full, since the last call.
+    pub fn take_cuts(&self) -> u64 {
+        self.cuts.take()
     }
 
     /// What is known of an account.
@@ -307,255 +274,6 @@
             None => error,
         }
     }
-
-    /// Asks peers for tokens; `true` if one has lent some.
-    ///
-    /// One request of an account asks at a time; the others use what it
-    /// brings.
-    async fn borrow(&self, account: &str, tokens: u64) -> bool {
-        if !self.borrowing.borrow_mut().insert(account.to_owned()) {
-            return false;
-        }
-        let borrowed = self.borrow_any(account, tokens).await;
-        self.borrowing.borrow_mut().remove(account);
-        borrowed
-    }
-
-    async fn borrow_any(&self, account: &str, tokens: u64) -> bool {
-        let mut lenders = self.book.borrow().lenders(account);
-        lenders.retain(|vm| !self.ports.members.health(vm).unusable);
-        lenders.truncate(LENDERS);
-        for vm in lenders {
-            let Some(peer) = self.ports.directory.peer_address(&vm) else {
-                continue;
-            };
-            self.last_loan.set(self.last_loan.get() + 1);
-            let request = LendRequest {
-                budget: account.to_owned(),
-                to: self.id.clone(),
-                least: tokens,
-                want: tokens.saturating_mul(LOAN_REQUESTS),
-                loan: self.last_loan.get(),
-            };
-            // The loan is open until its answer is here; a caller that
-            // leaves meanwhile leaves it to the task that takes back.
-            let open = OpenLoan { vm, request };
-            self.open_loans.borrow_mut().push(open.clone());
-            let call = PeerCall::Lend(open.request.clone());
-            let reply = self.ports.peers.call(peer, call).await;
-            let Ok(PeerAnswer::Lent(reply)) = reply else {
-                continue;
-            };
-            self.close_loan(&open);
-            let Some(reply) = reply else {
-                continue;
-            };
-            let now = Instant::now();
-            log::info!(
-                event:% = LogEvent::TokensBorrowed,
-                account, tokens = reply.tokens, peer = open.vm.as_str();
-                "tokens borrowed"
-            );
-            self.book.borrow_mut().borrow(account, reply.tokens, now);
-            self.changed.notify_waiters();
-            return true;
-        }
-        false
-    }
-
-    fn close_loan(&self, loan: &OpenLoan) {
-        self.open_loans.borrow_mut().retain(|open| open != loan);
-    }
-
-    /// Gives tokens at hand to a peer for good; zero if there are too few.
-    ///
-    /// A peer that wants nothing takes a loan back whose answer it missed.
-    pub fn lend(&self, request: &LendRequest) -> u64 {
-        let mut book = self.book.borrow_mut();
-        let account = request.budget.as_str();
-        let peer = request.to.vm.as_str();
-        if request.want == 0 {
-            let tokens = book.take_back(request);
-            log::info!(
-                event:% = LogEvent::LoanReturned, account, tokens, peer;
-                "loan taken back"
-            );
-            return 0;
-        }
-        let tokens = book.lend(request);
-        if tokens > 0 {
-            log::info!(
-                event:% = LogEvent::TokensLent, account, tokens, peer;
-                "tokens lent"
-            );
-        }
-        tokens
-    }
-
-    /// Has loans taken back whose answers were lost, for as long as the
-    /// task lives.
-    pub async fn run_loans(self: Rc<Self>) {
-        let ticks = self.ports.timer.subscribe(TAKE_BACK_PERIOD);
-        let mut before: Vec<OpenLoan> = Vec::new();
-        loop {
-            ticks.tick().await;
-            // A loan that was open a period ago has no answer under way.
-            let open = self.open_loans.borrow().clone();
-            for loan in &open {
-                if before.contains(loan) {
-                    self.abandon(loan).await;
-                }
-            }
-            before = open;
-        }
-    }
-
-    async fn abandon(&self, loan: &OpenLoan) {
-        let Some(peer) = self.ports.directory.peer_address(&loan.vm) else {
-            // A VM that is not listed any more has nothing to take back.
-            self.close_loan(loan);
-            return;
-        };
-        if self.ports.members.health(&loan.vm).unusable {
-            return;
-        }
-        let request =
-            LendRequest { least: 0, want: 0, ..loan.request.clone() };
-        let call = PeerCall::Lend(request);
-        if self.ports.peers.call(peer, call).await.is_ok() {
-            self.close_loan(loan);
-        }
-    }
-
-    /// Reads and writes the records for as long as the task lives.
-    pub async fn run(self: Rc<Self>) {
-        loop {
-            let synced = self.sync().await;
-            if let Err(fault) = &synced {
-                self.note_fault(fault);
-                self.ports.timer.sleep(RETRY_DELAY).await;
-                continue;
-            }
-            self.store.note_answer();
-            let is_idle = self.book.borrow().is_idle();
-            let factor = if is_idle { IDLE_FACTOR } else { 1 };
-            let pause = self.options.settle_interval * factor;
-            let pause = self.ports.timer.sleep(pause);
-            monoio::select! {
-                () = pause => {}
-                () = self.urgent.notified() => {
-                    self.ports.timer.sleep(GROUP_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Reads everything new, then writes what has changed here.
-    async fn sync(&self) -> Result<(), KeyedFault> {
-        let mut told = Instant::now();
-        let mut tries = 0;
-        loop {
-            self.read_all().await?;
-            let draft = self.draft();
-            if draft.records.is_empty() {
-                return Ok(());
-            }
-            match self.append(&draft).await {
-                Ok(()) => return Ok(()),
-                Err(KeyedFault::Moved) => {
-                    tries += 1;
-                    self.conflicts.set(self.conflicts.get() + 1);
-                    if told.elapsed() >= OUTRUN_PERIOD {
-                        told = Instant::now();
-                        log::info!(
-                            event:% = LogEvent::AppendOutrun,
-                            tries, accounts = draft.records.len();
-                            "other routers were faster each time"
-                        );
-                    }
-                    let delay = rand::random::<u64>() % CONFLICT_DELAY_MS;
-                    let delay = Duration::from_millis(delay);
-                    self.ports.timer.sleep(delay).await;
-                }
-                Err(fault) => return Err(fault),
-            }
-        }
-    }
-
-    fn draft(&self) -> AllowanceDraft {
-        let mut book = self.book.borrow_mut();
-        if self.leaving.get() {
-            return book.draft_release();
-        }
-        let prepaid = self.prepaid.borrow();
-        let routers = self.ports.directory.entry_count() as u64;
-        book.draft(&prepaid, routers, Instant::now())
-    }
-
-    async fn read_all(&self) -> Result<(), KeyedFault> {
-        loop {
-            let from = self.book.borrow().cursor();
-            let read = async {
-                if !self.loaded.get() {
-                    return self.ports.topics.newest(TOPIC).await;
-                }
-                let topics = &self.ports.topics;
-                topics.read(TOPIC, from, Duration::ZERO).await
-            };
-            let slice = match read.await {
-                Ok(slice) => slice,
-                Err(KeyedFault::Expired) => {
-                    self.loaded.set(false);
-                    continue;
-                }
-                Err(fault) => return Err(fault),
-            };
-            if slice.end < from {
-                // An answer from before what is known here.
-                let reason = "the topic's end went back".to_owned();
-                return Err(KeyedFault::Refused { reason });
-            }
-            self.loaded.set(true);
-            let now = Instant::now();
-            self.book.borrow_mut().apply(&slice.records, slice.next, now);
-            if slice.next >= slice.end {
-                break;
-            }
-        }
-        self.reads.set(self.reads.get() + 1);
-        self.changed.notify_waiters();
-        Ok(())
-    }
-
-    async fn append(&self, draft: &AllowanceDraft) -> Result<(), KeyedFault> {
-        let mut records = Vec::with_capacity(draft.records.len());
-        for (account, record) in &draft.records {
-            records.push(KeyedRecord {
-                key: allowance_key(account, &self.id.vm),
-                value: Some(record.encode()),
-                offset: 0,
-            });
-        }
-        let topics = &self.ports.topics;
-        topics.append_at(TOPIC, draft.at, &records).await?;
-        self.book.borrow_mut().confirm(draft, Instant::now());
-        self.changed.notify_waiters();
-        Ok(())
-    }
-
-    fn note_fault(&self, fault: &KeyedFault) {
-        self.store.note_fault(fault);
-        self.changed.notify_waiters();
-    }
-
-    /// Gives everything back that no request needs, waiting up to `time`.
-    ///
-    /// Returns `false` if the topic did not take the records.
-    pub async fn drain(&self, time: Duration) -> bool {
-        self.leaving.set(true);
-        let synced = monoio::time::timeout(time, self.sync()).await;
-        matches!(synced, Ok(Ok(())))
-    }
 }
 
 /// How long an outage lasts that has lasted for `time`: about as long again.
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -6,10 +6,15 @@
 //! of what has been taken survives the loss of all VMs at once and of the
 //! topic's history.
 //!
-//! A VM raises its record only by an append that is conditional on the end
-//! of the partition. A success proves that the VM has seen every other
-//! record, so the sum can never exceed the total. Tokens are spent from what
-//! the own record says has been taken, without any call.
+//! A VM raises its record whenever it wants to: the record is a claim, and
+//! the order of the topic decides. The VM reads its record back and uses what
+//! the records before it have left. Every record counts in full for those
+//! behind it, granted or not, so the sum of what is used can never exceed the
+//! total. No VM waits for others to be silent, however slow it is. Tokens are
+//! spent from what was granted, without any call.
+//!
+//! Appends of a VM take effect once and in order, and none after a later
+//! incarnation has begun (`ports::TopicWriter`).
 //!
 //! * [`AllowanceBook`] holds the records and the VM's own use of them. It
 //!   decides and does no I/O.
@@ -21,10 +26,14 @@
 mod book;
 mod hold;
 mod keeper;
+mod lending;
+mod loans;
+mod own_use;
 mod record;
+mod sync;
 
 pub use self::{
-    book::{AllowanceBook, AllowanceDraft, AllowanceView},
+    book::{AllowanceBook, AllowanceDraft, AllowanceView, ClaimCut},
     hold::TokenHold,
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     record::{AllowanceRecord, allowance_key},
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -71,8 +71,7 @@
         }
         let reachable = core.keeper.is_healthy();
         core.metrics.store_reachable.set(i64::from(reachable));
-        let conflicts = core.keeper.take_conflicts();
-        core.metrics.append_conflicts.inc_by(conflicts);
+        core.metrics.claims_cut.inc_by(core.keeper.take_cuts());
         let is_busy = core.in_progress.get() > 0 || core.is_named();
         let is_standby = is_read && !is_busy;
         let period = if is_standby { STANDBY_PERIOD } else { UPSTREAM_PERIOD };
--- a/src/ports/keyed.rs
+++ b/src/ports/keyed.rs
@@ -28,12 +28,30 @@
     pub end: u64,
 }
 
+/// Who appends to a topic.
+///
+/// Appends of one epoch are numbered. The topic takes each number once and
+/// in order, so that an append may be repeated until it is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TopicWriter {
+    /// The name, the same in all epochs.
+    pub name: String,
+    /// The fencing token: a higher one ends all lower ones.
+    pub epoch: u64,
+}
+
 /// Why a keyed topic did not do what it was asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum KeyedFault {
     /// The topic does not end where the append presumed; nothing was done.
     #[snafu(display("the topic ends elsewhere"))]
     Moved,
+    /// A higher epoch of the writer has appended; nothing was done.
+    #[snafu(display("a later epoch has taken over"))]
+    Fenced,
+    /// The append is not the next one of its epoch; nothing was done.
+    #[snafu(display("not the next append of its writer"))]
+    OutOfSequence,
     /// Records from the wanted offset on are gone.
     #[snafu(display("the history is gone"))]
     Expired,
@@ -75,16 +93,30 @@
         wait: Duration,
     ) -> PortFuture<'a, Result<KeyedSlice, KeyedFault>>;
 
-    /// Appends records as one batch if the topic ends at `at`.
+    /// Ends all earlier epochs of a writer: none of their appends takes
+    /// effect any more.
+    ///
+    /// # Errors
+    ///
+    /// `Fenced` if there is a higher epoch.
+    fn fence<'a>(
+        &'a self,
+        topic: &'a str,
+        writer: &'a TopicWriter,
+    ) -> PortFuture<'a, Result<(), KeyedFault>>;
+
+    /// Appends records as one batch, the one of this number in the writer's
+    /// epoch.
     ///
     /// # Errors
     ///
-    /// `Moved` if it does not. After `Lost` the batch may still be appended
-    /// for as long as the topic ends at `at`.
-    fn append_at<'a>(
+    /// After `Lost` the batch may still be appended. It has to be repeated
+    /// with the same number until the topic answers.
+    fn append<'a>(
         &'a self,
         topic: &'a str,
-        at: u64,
+        writer: &'a TopicWriter,
+        number: u64,
         records: &'a [KeyedRecord],
     ) -> PortFuture<'a, Result<(), KeyedFault>>;
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -34,7 +34,7 @@
     forward::{
         ForwardCall, ForwardLink, ForwardPort, ForwardReply, ForwardVerdict,
     },
-    keyed::{KeyedFault, KeyedPort, KeyedRecord, KeyedSlice},
+    keyed::{KeyedFault, KeyedPort, KeyedRecord, KeyedSlice, TopicWriter},
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
     moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -116,9 +116,11 @@
     LoanReturned = "loan_returned" ["account", "tokens", "peer"];
     /// The bill of a dead router was settled.
     BillRecovered = "bill_recovered" ["request_id", "account", "tokens"];
-    /// Other routers have changed the records each time before this one's
-    /// append arrived.
-    AppendOutrun = "append_outrun" ["tries", "accounts"];
+    /// A claim on tokens was not granted in full: others came first.
+    ClaimCut = "claim_cut" ["account", "claimed", "granted"];
+    /// The topic of tokens does not take this router's appends any more; it
+    /// begins a new epoch.
+    AppendFenced = "append_fenced" ["epoch", "number"];
     /// A leaving router could not write its last settlements.
     SettlementsUnsaved = "settlements_unsaved" [];
     /// A move to another version was ordered.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -44,8 +44,8 @@
     pub list_read_at: IntGauge,
     /// Routers on the list of entry VMs.
     pub entry_vms: IntGauge,
-    /// Appends of token records that another router outran.
-    pub append_conflicts: IntCounter,
+    /// Claims on tokens that were not granted in full.
+    pub claims_cut: IntCounter,
     /// Whether the store of prepaid tokens answers.
     pub store_reachable: IntGauge,
 }
@@ -128,9 +128,9 @@
                 "magnolia_entry_vms",
                 "Routers on the list of entry VMs.",
             ),
-            append_conflicts: IntCounter::new(
-                "magnolia_append_conflicts_total",
-                "Appends of token records that another router outran.",
+            claims_cut: IntCounter::new(
+                "magnolia_claims_cut_total",
+                "Claims on tokens that were not granted in full.",
             )
             .expect("valid counter"),
             store_reachable: gauge(
@@ -158,7 +158,7 @@
             Box::new(self.store_reachable.clone()),
             Box::new(self.upstreams_doubted.clone()),
             Box::new(self.list_read_at.clone()),
-            Box::new(self.append_conflicts.clone()),
+            Box::new(self.claims_cut.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -15,12 +15,32 @@
 };
 
 const ACCOUNT: &str = "dairy";
+/// Records that are appended while a reader gets the newest ones.
+const LATE_RECORDS: usize = 3;
+
 const HORIZON: Duration = Duration::from_secs(8);
 
-/// A keyed topic with conditional appends, kept whole.
+/// An append as it is under way to the topic.
+#[derive(Clone, Debug)]
+struct Append {
+    vm: String,
+    epoch: u64,
+    number: u64,
+    draft: AllowanceDraft,
+}
+
+/// The appends of one writer that were done.
+#[derive(Default)]
+struct Writer {
+    epoch: u64,
+    next: u64,
+}
+
+/// A keyed topic that takes the appends of a writer once and in order.
 #[derive(Default)]
 struct Topic {
     records: Vec<KeyedRecord>,
+    writers: BTreeMap<String, Writer>,
 }
 
 impl Topic {
@@ -28,28 +48,45 @@
         self.records.len() as u64
     }
 
-    fn append(&mut self, vm: &str, draft: &AllowanceDraft) -> bool {
-        if draft.at != self.end() {
+    fn fence(&mut self, vm: &str, epoch: u64) {
+        let writer = self.writers.entry(vm.to_owned()).or_default();
+        assert!(epoch > writer.epoch, "an epoch that is used already");
+        *writer = Writer { epoch, next: 0 };
+    }
+
+    /// Does an append, unless it is fenced, repeated or out of order;
+    /// `false` if it was not done and never will be with this number.
+    fn append(&mut self, append: &Append) -> bool {
+        let writer = self.writers.entry(append.vm.clone()).or_default();
+        if append.epoch != writer.epoch || append.number > writer.next {
             return false;
         }
-        for (account, record) in &draft.records {
+        if append.number < writer.next {
+            return true;
+        }
+        writer.next += 1;
+        for (account, record) in &append.draft.records {
             let offset = self.end();
-            let key = allowance_key(account, vm);
+            let key = allowance_key(account, &append.vm);
             let value = Some(record.encode());
             self.records.push(KeyedRecord { key, value, offset });
         }
         true
     }
 
-    /// The newest record of each key, as a reader without history sees it.
-    fn newest(&self) -> Vec<KeyedRecord> {
+    /// The newest record of each key, as a reader without history sees it,
+    /// and where to read on. The pages are no snapshot: some are from before
+    /// the last appends and some from after them.
+    fn newest(&self) -> (Vec<KeyedRecord>, u64) {
+        let first_end = self.records.len().saturating_sub(LATE_RECORDS);
         let mut newest = BTreeMap::new();
-        for record in &self.records {
-            newest.insert(record.key.clone(), record.clone());
+        for (place, record) in self.records.iter().enumerate() {
+            let is_late_page = record.key.ends_with(['1', '3']);
+            if place < first_end || is_late_page {
+                newest.insert(record.key.clone(), record.clone());
+            }
         }
-        let mut newest: Vec<KeyedRecord> = newest.into_values().collect();
-        newest.sort_by_key(|record| record.offset);
-        newest
+        (newest.into_values().collect(), first_end as u64)
     }
 }
 
@@ -57,33 +94,84 @@
     vm: String,
     incarnation: u64,
     book: AllowanceBook,
+    number: u64,
+    is_loaded: bool,
     reserved: Vec<u64>,
-    late: Vec<AllowanceDraft>,
+    late: Vec<Append>,
 }
 
 impl Router {
     fn new(number: usize, incarnation: u64) -> Router {
         let vm = format!("vm-{number}");
         let book = AllowanceBook::new(&vm, incarnation, HORIZON);
-        let (reserved, late) = (Vec::new(), Vec::new());
-        Router { vm, incarnation, book, reserved, late }
+        Router {
+            vm,
+            incarnation,
+            book,
+            number: 0,
+            is_loaded: false,
+            reserved: Vec::new(),
+            late: Vec::new(),
+        }
     }
 
-    fn read(&mut self, topic: &Topic, now: Instant) {
+    fn read(&mut self, topic: &mut Topic, total: u64, now: Instant) {
+        if !self.is_loaded {
+            topic.fence(&self.vm, self.incarnation);
+            self.load(topic, total, now);
+            self.book.finish_load(&prepaid(total), true);
+            self.is_loaded = true;
+        }
+        self.read_on(topic, total, now);
+        self.close(topic);
+    }
+
+    /// Begins with the newest records, as if the history was gone.
+    fn reload(&mut self, topic: &Topic, total: u64, now: Instant) {
+        if !self.is_loaded {
+            return;
+        }
+        self.load(topic, total, now);
+        self.book.finish_load(&prepaid(total), false);
+        self.close(topic);
+    }
+
+    fn load(&mut self, topic: &Topic, total: u64, now: Instant) {
+        let (records, next) = topic.newest();
+        self.book.load(&records, next, now);
+        self.read_on(topic, total, now);
+    }
+
+    fn read_on(&mut self, topic: &Topic, total: u64, now: Instant) {
         let from = self.book.cursor() as usize;
-        let records = if from == 0 {
-            topic.newest()
-        } else {
-            topic.records[from..].to_vec()
-        };
-        self.book.apply(&records, topic.end(), now);
+        let records = topic.records[from..].to_vec();
+        self.book.apply(&records, topic.end(), &prepaid(total), now);
+    }
+
+    fn close(&mut self, topic: &Topic) {
+        if !self.book.has_open() && self.is_numbered(topic) {
+            self.number += 1;
+        }
+    }
+
+    /// Whether the append of the present number was done.
+    fn is_numbered(&self, topic: &Topic) -> bool {
+        let writer = topic.writers.get(&self.vm);
+        writer.is_some_and(|writer| writer.next > self.number)
+    }
+
+    fn append(&self, draft: AllowanceDraft) -> Append {
+        let (vm, epoch) = (self.vm.clone(), self.incarnation);
+        Append { vm, epoch, number: self.number, draft }
     }
 }
 
 #[derive(Clone, Debug)]
 enum Step {
-    /// Router reads and appends; the answer may be lost, the append late.
+    /// Router appends and reads; the answer may be lost, the append late.
     Sync { router: usize, fate: u8 },
+    /// The history is gone; the router reads the newest records.
+    Reload { router: usize },
     /// An append whose answer was lost takes effect now, if it still can.
     Late { router: usize },
     /// A request sets tokens aside, or waits for them.
@@ -110,6 +198,7 @@
             .prop_map(|(router, percent)| Step::Settle { router, percent }),
         1 => (router.clone(), router.clone(), 1..200_u64)
             .prop_map(|(from, to, tokens)| Step::Lend { from, to, tokens }),
+        1 => router.clone().prop_map(|router| Step::Reload { router }),
         1 => router.prop_map(|router| Step::Restart { router }),
         1 => (1..500_u64).prop_map(|tokens| Step::TopUp { tokens }),
     ];
@@ -144,30 +233,47 @@
         match *step {
             Step::Sync { router, fate } => {
                 let router = &mut routers[router];
-                router.read(&topic, now);
-                let prepaid =
-                    BTreeMap::from([(ACCOUNT.to_owned(), truth.prepaid)]);
-                let draft = router.book.draft(&prepaid, 4, now);
+                if !router.is_loaded {
+                    router.read(&mut topic, truth.prepaid, now);
+                }
+                let total = prepaid(truth.prepaid);
+                let draft = router.book.draft(&total, 4, now);
+                if draft.records.is_empty() {
+                    router.read(&mut topic, truth.prepaid, now);
+                    continue;
+                }
+                let append = router.append(draft);
                 match fate {
                     // Done, but the answer is lost.
                     0 => {
-                        topic.append(&router.vm, &draft);
+                        topic.append(&append);
+                    }
+                    // Not done yet; it may still be, once or twice.
+                    1 => router.late.push(append),
+                    2 => {
+                        router.late.extend([append.clone(), append.clone()]);
+                        topic.append(&append);
+                    }
+                    // Done, and not read back yet.
+                    3 => {
+                        topic.append(&append);
                     }
-                    // Not done yet; it may still be.
-                    1 => router.late.push(draft),
                     _ => {
-                        if topic.append(&router.vm, &draft) {
-                            router.book.confirm(&draft, now);
-                        }
+                        prop_assert!(topic.append(&append));
+                        router.read(&mut topic, truth.prepaid, now);
+                        prop_assert!(!router.book.has_open());
                     }
                 }
             }
             Step::Late { router } => {
                 let router = &mut routers[router];
-                if let Some(draft) = router.late.pop() {
-                    topic.append(&router.vm, &draft);
+                if let Some(append) = router.late.pop() {
+                    topic.append(&append);
                 }
             }
+            Step::Reload { router } => {
+                routers[router].reload(&topic, truth.prepaid, now);
+            }
             Step::Reserve { router, tokens } => {
                 let router = &mut routers[router];
                 if router.book.reserve(ACCOUNT, tokens, now) {
@@ -244,12 +350,15 @@
     BTreeMap::from([(ACCOUNT.to_owned(), tokens)])
 }
 
-/// Reads, drafts and appends without any fault.
+/// Reads, appends and reads back without any fault.
 fn sync(router: &mut Router, topic: &mut Topic, total: u64, now: Instant) {
-    router.read(topic, now);
+    router.read(topic, total, now);
     let draft = router.book.draft(&prepaid(total), 2, now);
-    assert!(topic.append(&router.vm, &draft));
-    router.book.confirm(&draft, now);
+    if !draft.records.is_empty() {
+        assert!(topic.append(&router.append(draft)));
+    }
+    router.read(topic, total, now);
+    assert!(!router.book.has_open());
 }
 
 #[test]
@@ -288,8 +397,8 @@
     let release = router.book.draft_release();
     assert!(!router.book.reserve(ACCOUNT, 500, now));
     // It takes effect late. Another router may take the tokens then.
-    assert!(topic.append(&router.vm, &release));
-    router.read(&topic, now);
+    assert!(topic.append(&router.append(release)));
+    router.read(&mut topic, 1_000, now);
     assert!(!router.book.reserve(ACCOUNT, 500, now));
 }
 
@@ -323,11 +432,63 @@
     assert!(one.book.reserve(ACCOUNT, 1_000, now));
     one.book.settle(ACCOUNT, 1_000, 990);
     sync(&mut one, &mut topic, 1_000, now);
-    two.read(&topic, now);
+    two.read(&mut topic, 1_000, now);
     assert!(two.book.is_exhausted(ACCOUNT, 1_000, 20));
     assert!(!two.book.is_exhausted(ACCOUNT, 1_000, 10));
 }
 
+/// Load pattern of a slow router: others write between its reads and its
+/// appends, each time. It gets what it claims all the same.
+#[test]
+fn a_router_that_is_always_outrun_gets_tokens() {
+    let now = Instant::now();
+    let mut topic = Topic::default();
+    let (mut fast, mut slow) = (Router::new(1, 1), Router::new(2, 1));
+    slow.read(&mut topic, 10_000, now);
+    slow.book.add_unmet(ACCOUNT, 500, now);
+    let draft = slow.book.draft(&prepaid(10_000), 2, now);
+    for _ in 0..5 {
+        fast.book.add_unmet(ACCOUNT, 100, now);
+        sync(&mut fast, &mut topic, 10_000, now);
+    }
+    assert!(topic.append(&slow.append(draft)));
+    sync(&mut fast, &mut topic, 10_000, now);
+    slow.read(&mut topic, 10_000, now);
+    assert!(slow.book.reserve(ACCOUNT, 500, now));
+}
+
+/// Two routers claim the end of an account at once: the first one in the
+/// topic gets what it claims, the other one what that leaves.
+#[test]
+fn claims_on_the_last_tokens_are_granted_in_order() {
+    let now = Instant::now();
+    let mut topic = Topic::default();
+    let (mut one, mut two) = (Router::new(1, 1), Router::new(2, 1));
+    let mut drafts = Vec::new();
+    for router in [&mut one, &mut two] {
+        router.read(&mut topic, 1_000, now);
+        for _ in 0..7 {
+            router.book.add_unmet(ACCOUNT, 100, now);
+        }
+        let draft = router.book.draft(&prepaid(1_000), 2, now);
+        drafts.push(router.append(draft));
+    }
+    // In the order of the topic, not of the drafts.
+    assert!(topic.append(&drafts[1]) && topic.append(&drafts[0]));
+    one.read(&mut topic, 1_000, now);
+    two.read(&mut topic, 1_000, now);
+    let claimed = drafts[1].draft.records[0].1.taken;
+    assert_eq!(two.book.view(ACCOUNT, 1_000).available, claimed);
+    assert_eq!(one.book.view(ACCOUNT, 1_000).available, 1_000 - claimed);
+    let cuts = one.book.take_cuts();
+    assert_eq!(cuts.len(), 1);
+    assert_eq!(cuts[0].granted, 1_000 - claimed);
+    // The rest of the claim is withdrawn and can be had again.
+    sync(&mut one, &mut topic, 1_000, now);
+    two.read(&mut topic, 1_000, now);
+    assert_eq!(two.book.view(ACCOUNT, 1_500).free, 500);
+}
+
 /// A router that was frozen answers calls that nobody waits for any more.
 #[test]
 fn a_loan_whose_answer_was_lost_is_not_lost() {
@@ -375,7 +536,7 @@
     old.book.settle(ACCOUNT, used, used);
     sync(&mut old, &mut topic, TOTAL, start);
     let draft = old.book.draft_release();
-    assert!(topic.append(&old.vm, &draft));
+    assert!(topic.append(&old.append(draft)));
     let mut now = start;
     for second in 0..20 {
         now = start + Duration::from_secs(second);
