Leave upstreams whose answers have no end

A worker in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. A gateway read a body without a length, or in chunks, until the request's deadline and kept all of it; it skipped another request's answer as long; and it passed on or dropped events for ever.

Now an answer that is no stream, and the bytes of a stream without a new event, are bounded by limits.answer (1 MiB), and a stream has at most as many events as tokens were asked for. Heads were bounded already. What may run again is served elsewhere; an answer that was cut never looks complete.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -116,6 +116,13 @@
         self
     }
 
+    /// Sets the largest body of an answer, or part of one that is read part
+    /// by part, in bytes.
+    pub fn with_body_bytes(mut self, bytes: usize) -> HttpClient {
+        self.limits = self.limits.with_body_bytes(bytes);
+        self
+    }
+
     /// Sets the longest time to wait for a connection.
     pub fn with_connect_time(mut self, time: Duration) -> HttpClient {
         self.connect_time = time;
@@ -526,16 +533,22 @@
     /// # Errors
     ///
     /// As [`ReplyBody::next_part`]; `Closed` if the connection ends with the
-    /// body.
+    /// body, `BodyTooLarge` for one that is not worth the wait.
     pub async fn into_connection(
         mut self,
         deadline: Instant,
     ) -> Result<HttpConnection, HttpFault> {
         let is_fixed = matches!(self.length, BodyLength::Fixed(_));
-        while self.read_part(deadline).await?.is_some() {
+        let limit = self.client.limits.body_bytes;
+        let mut skipped = 0;
+        while let Some(part) = self.read_part(deadline).await? {
             if is_fixed {
                 break;
             }
+            skipped += part.len();
+            if skipped > limit {
+                return Err(HttpFault::BodyTooLarge { limit });
+            }
         }
         let is_over = self.length == BodyLength::UntilClose;
         let connection = self.connection.take().filter(|_| !is_over);
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -68,6 +68,9 @@
     pub connections: usize,
     /// Longest time for an upstream to begin its answer.
     pub upstream_time: Duration,
+    /// Largest answer of an upstream that is no stream, in bytes, and most
+    /// bytes of a stream without a new event.
+    pub answer_bytes: usize,
     /// Bytes held for one slow reader.
     pub stream_bytes: usize,
     /// Bytes held for all slow readers of a router.
@@ -274,6 +277,7 @@
     let connections = section.number("connections", 4096, 1..=1_000_000);
     let upstream_time =
         section.duration("upstream_time", s(30), ms(50)..=s(3600));
+    let answer = section.size("answer", MIB, KIB..=64 * MIB);
     let stream = section.size("stream", 64 * KIB, KIB..=64 * MIB);
     let held = section.size("held", 32 * MIB, KIB..=1024 * MIB);
     let reader_time = section.duration("reader_time", s(30), ms(50)..=s(3600));
@@ -288,6 +292,7 @@
         idle_time,
         connections: connections as usize,
         upstream_time,
+        answer_bytes: answer as usize,
         stream_bytes: stream as usize,
         held_bytes: held as usize,
         reader_time,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -418,7 +418,8 @@
         let ForwardReply { status, headers, mut parts, .. } = reply;
         let upstream = attempt.slot.upstream().vm.clone();
         let deadline = request.give_up_at();
-        let body = match collect(parts.as_mut(), deadline).await {
+        let limit = self.core.settings.limits.answer_bytes;
+        let body = match collect(parts.as_mut(), deadline, limit).await {
             Ok(body) => body,
             Err(fault) => {
                 attempt.note(UpstreamOutcome::Lost);
@@ -520,6 +521,14 @@
                 attempt.note(UpstreamOutcome::Lost);
                 fault
             }
+            RelayEnd::Overrun => {
+                // What the caller has is not the answer; nothing can follow.
+                attempt.note(UpstreamOutcome::Lost);
+                let fault = UpstreamFault::broken("more events than asked");
+                self.log_attempt(&upstream, &fault.to_string());
+                let error = lost_error(request, &fault);
+                return NextStep::End(CallEnd::Failed(error));
+            }
             RelayEnd::Silent => UpstreamFault::TimedOut,
         };
         self.after_fault(attempt, upstream, &fault)
@@ -576,12 +585,17 @@
     responder.begin_stream(head).await
 }
 
+/// Reads a whole answer of at most `limit` bytes.
 async fn collect(
     parts: &mut dyn UpstreamParts,
     deadline: Instant,
+    limit: usize,
 ) -> Result<Vec<u8>, UpstreamFault> {
     let mut body = Vec::new();
     while let Some(part) = parts.next_part(deadline).await? {
+        if body.len() + part.len() > limit {
+            return Err(UpstreamFault::broken("an answer is too large"));
+        }
         body.extend_from_slice(&part);
     }
     Ok(body)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,9 @@
 /// Shortest pause after which an upstream counts as silent.
 const LEAST_GAP: Duration = Duration::from_millis(800);
 
+/// Events of a stream that may hold no token.
+const EMPTY_EVENTS: u64 = 2;
+
 /// What a caller has of a stream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StreamPosition {
@@ -46,6 +49,8 @@
     Broken(UpstreamFault),
     /// The upstream paused for too long.
     Silent,
+    /// The upstream sent more events than the request can have.
+    Overrun,
 }
 
 /// One stream on its way.
@@ -58,6 +63,8 @@
     gap: Option<Duration>,
     scanner: SseScanner,
     position: StreamPosition,
+    /// Bytes that came since the last new event.
+    idle_bytes: usize,
     ended: bool,
 }
 
@@ -77,6 +84,7 @@
             gap: None,
             scanner: SseScanner::new(),
             position,
+            idle_bytes: 0,
             ended: false,
         }
     }
@@ -138,6 +146,9 @@
     ) -> RelayEnd {
         loop {
             let chunk = self.take_chunk();
+            if self.has_overrun() {
+                return RelayEnd::Overrun;
+            }
             if !chunk.is_empty() {
                 let sent =
                     self.write(parts, responder, &chunk, deadline).await;
@@ -212,6 +223,7 @@
             }
             self.position.last_event = event.id.or(self.position.last_event);
             self.position.events += 1;
+            self.idle_bytes = self.scanner.len();
             chunk.extend_from_slice(&event.bytes);
         }
         let output = self.position.events * self.event_tokens;
@@ -220,6 +232,12 @@
         chunk
     }
 
+    /// Whether there are more events than tokens that were asked for.
+    fn has_overrun(&self) -> bool {
+        let ceiling = self.output_ceiling;
+        ceiling > 0 && self.position.events > ceiling + EMPTY_EVENTS
+    }
+
     async fn receive(
         &mut self,
         parts: &mut dyn UpstreamParts,
@@ -235,7 +253,9 @@
             return Ok(());
         };
         self.scanner.push(&part);
-        if self.scanner.is_oversized() {
+        self.idle_bytes += part.len();
+        let limit = self.core.settings.limits.answer_bytes;
+        if self.scanner.is_oversized() || self.idle_bytes > limit {
             return Err(UpstreamFault::broken("an event is too large"));
         }
         Ok(())
