Judge new versions by what all gateways see, and late

Cause: each gateway judged alone. The target gets 6 in 100 of the requests; spread over five gateways that is about 14 each in 11 s, and 20 are needed to compare times. Nothing spoke against the version, and nothing was needed to speak for it: one answered request completed the move. The comparison also saw only the first event, which was 1.4 to 1.7 times as late, not the pace of events, which was 3 to 7 times as slow. And a move was completed at 75 in 100 of its time, after which a version that turns bad gets a quarter of the requests until its deadline, where a tenth is allowed.

Ruled out: requests that were moved elsewhere (3 of 60).

Now gateways report their evidence to three judges, which go by the sum; the pace of events and times relative to the size of the request are evidence; only judges complete a move, at 96 in 100 of its time, and one that has served nothing is taken back. The decision's line says what showed it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -168,6 +168,15 @@
         }
     }
 
+    /// The time to the answer as a multiple of what the size of the request
+    /// lets expect, in seconds, so that requests of all sizes compare.
+    fn relative_time(&self) -> Duration {
+        let expected = expected_time(self.request).as_secs_f64();
+        Duration::from_secs_f64(
+            self.sent_at.elapsed().as_secs_f64() / expected,
+        )
+    }
+
     /// Notes what the request came to, for the upstream's health.
     pub(super) fn note(&self, outcome: UpstreamOutcome) {
         let upstream = self.slot.upstream();
@@ -177,7 +186,7 @@
             &upstream.version,
             &self.request.route.name,
             !is_answer,
-            is_answer.then(|| self.sent_at.elapsed()),
+            is_answer.then(|| self.relative_time()),
         );
         match self.slot.note_outcome(outcome) {
             Some(HealthChange::Ejected(time)) => {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -17,6 +17,7 @@
 use super::{
     CallRequest, GatewayCore,
     attempt::{AttemptStart, CallAttempt},
+    moves::PaceKey,
     relay::{EventRelay, RelayEnd, StreamPosition},
 };
 use crate::{
@@ -24,7 +25,7 @@
     allowance::TokenHold,
     error::{CallError, ErrorKind},
     ports::{ForwardReply, ForwardVerdict, UpstreamFault, UpstreamParts},
-    routing::{UpstreamOutcome, UpstreamSlot},
+    routing::{UpstreamOutcome, UpstreamSlot, UpstreamView},
     telemetry::LogEvent,
 };
 
@@ -469,7 +470,7 @@
         let ForwardReply { status, headers, mut parts, .. } = reply;
         let upstream = attempt.slot.upstream().vm.clone();
         let deadline = request.give_up_at();
-        let mut relay = self.relay(hold);
+        let mut relay = self.relay(hold, attempt.slot.upstream());
         let first =
             first_event(&mut attempt, &mut relay, parts.as_mut(), deadline);
         let first = match first.await {
@@ -534,7 +535,11 @@
         self.after_fault(attempt, upstream, &fault)
     }
 
-    fn relay(&self, hold: &'a TokenHold) -> EventRelay<'a> {
+    fn relay(
+        &self,
+        hold: &'a TokenHold,
+        upstream: &UpstreamView,
+    ) -> EventRelay<'a> {
         let request = self.request;
         let catalog = self.core.catalog().ok();
         let service =
@@ -542,11 +547,14 @@
         let engine = service.and_then(|service| service.engine);
         let event_tokens = engine.map_or(1, |engine| engine.event_tokens);
         let ceiling = request.ceiling;
-        let relay = EventRelay::new(self.core, hold, self.position).with_cost(
-            ceiling.prompt,
-            event_tokens,
-            ceiling.output,
-        );
+        let pace_key = PaceKey {
+            service: upstream.service.clone(),
+            version: upstream.version.clone(),
+            route: request.route.name.clone(),
+        };
+        let relay = EventRelay::new(self.core, hold, self.position)
+            .with_cost(ceiling.prompt, event_tokens, ceiling.output)
+            .with_pace(pace_key);
         if self.may_run_again() {
             return relay.with_gap_objective(request.route.gap_objective);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,7 @@
     core::{GatewayCore, GatewayPorts},
     entry::EntryQuery,
     leave::LeavePlan,
-    moves::{ServiceMove, VersionChoice},
+    moves::{MoveDuty, ServiceMove, VersionChoice},
     patience::{LatencyBook, expected_time},
     process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -2,9 +2,12 @@
 //!
 //! An order names a service, a target version and a time. Until the move is
 //! decided, a small share of the requests goes to the target, chosen by the
-//! identity of the request alone. Every gateway judges the target by what
-//! its own requests show, stops on its own, and tells its peers. Whoever
-//! decides first writes the status; a status that is final is never changed.
+//! identity of the request alone. That share gives one gateway next to no
+//! evidence, so all of them report theirs to a few judges, who go by the sum.
+//! Any gateway whose own requests show that the target is bad stops at once
+//! and tells its peers. Only a judge calls a target sound, and only after it
+//! has been tried. Whoever decides first writes the status; a status that is
+//! final is never changed.
 
 use std::{
     collections::BTreeMap,
@@ -14,9 +17,10 @@
 
 use super::GatewayCore;
 use crate::{
-    moves::{EvidenceTally, MoveState, Verdict},
-    ports::{EvidenceReport, MoveOrder, MoveStatus, PeerCall, VmRole},
-    telemetry::LogEvent,
+    domain::HolderId,
+    moves::{EvidenceTally, MoveState, Verdict, VersionEvidence},
+    ports::{EvidenceReport, MoveOrder, MoveStatus, PeerCall},
+    telemetry::{LogEvent, note_unreadable},
 };
 
 /// Time between two rounds of the driver.
@@ -27,15 +31,19 @@
 const CANARY_PERCENT: u32 = 6;
 
 /// Part of an order's time after which a sound target takes everything, in
-/// percent. A version may turn bad late.
-const DECIDE_PERCENT: u32 = 75;
+/// percent. What goes to the target until the end of that time, its canary
+/// share included, stays within a tenth in case it turns bad then.
+const DECIDE_PERCENT: u32 = 96;
 
-/// Part of an order's time after which any gateway decides, because the one
-/// whose turn it is may be gone, in percent.
-const ANYONE_PERCENT: u32 = 85;
+/// Part of an order's time after which other judges decide, because the
+/// first one may be gone, in percent.
+const STAND_IN_PERCENT: u32 = 98;
 
-/// Requests that a target has to have served here before it is called sound.
-const LEAST_REQUESTS: u64 = 1;
+/// Gateways that go by the evidence of all; others stand in for the first.
+const JUDGES: usize = 3;
+
+/// Rounds between two reports of a gateway to the judges.
+const REPORT_ROUNDS: u32 = 3;
 
 /// Which versions take a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -46,6 +54,14 @@
     pub avoided: Option<String>,
 }
 
+/// What a stream is evidence of.
+#[derive(Clone, Debug)]
+pub(super) struct PaceKey {
+    pub(super) service: String,
+    pub(super) version: String,
+    pub(super) route: String,
+}
+
 /// A move as one gateway knows it.
 #[derive(Clone, Debug)]
 pub struct ServiceMove {
@@ -54,6 +70,30 @@
     status: MoveStatus,
     is_written: bool,
     tally: EvidenceTally,
+    /// What other gateways have seen.
+    reports: BTreeMap<HolderId, EvidenceTally>,
+}
+
+/// What a gateway does about a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveDuty {
+    /// It reports its evidence.
+    Reporter,
+    /// It decides if the first judge does not.
+    StandIn,
+    /// It decides.
+    FirstJudge,
+}
+
+impl MoveDuty {
+    /// The duty of the gateway at a place in the ranking of all.
+    pub fn at_place(place: Option<usize>) -> MoveDuty {
+        match place {
+            Some(0) => MoveDuty::FirstJudge,
+            Some(place) if place < JUDGES => MoveDuty::StandIn,
+            _ => MoveDuty::Reporter,
+        }
+    }
 }
 
 impl ServiceMove {
@@ -65,6 +105,7 @@
             status: MoveStatus::Running,
             is_written: false,
             tally: EvidenceTally::default(),
+            reports: BTreeMap::new(),
         }
     }
 
@@ -92,29 +133,86 @@
         failed: bool,
         latency_us: Option<u64>,
     ) {
-        let side = if version == self.order.target {
-            &mut self.tally.new
-        } else {
-            &mut self.tally.old
-        };
-        side.note(route, failed, latency_us);
+        self.side(version).note(route, failed, latency_us);
+    }
+
+    /// Notes how fast the events of a stream of a version came.
+    pub fn note_pace(&mut self, version: &str, route: &str, gap_us: u64) {
+        self.side(version).note_pace(route, gap_us);
+    }
+
+    /// What this gateway has seen since the order.
+    pub fn tally(&self) -> &EvidenceTally {
+        &self.tally
+    }
+
+    /// Takes what another gateway has seen since the order.
+    pub fn take_report(&mut self, from: HolderId, tally: EvidenceTally) {
+        self.reports.insert(from, tally);
+    }
+
+    fn side(&mut self, version: &str) -> &mut VersionEvidence {
+        if version == self.order.target {
+            return &mut self.tally.new;
+        }
+        &mut self.tally.old
+    }
+
+    /// What all gateways have seen, as far as they have reported it.
+    fn sum(&self) -> EvidenceTally {
+        let mut sum = self.tally.clone();
+        for tally in self.reports.values() {
+            sum.add(tally);
+        }
+        sum
     }
 
     /// What is to be decided now, if anything.
-    ///
-    /// `is_turn` tells whether this gateway decides before the others.
-    pub fn decide(&self, is_turn: bool, now: Instant) -> Option<MoveStatus> {
+    pub fn decide(&self, duty: MoveDuty, now: Instant) -> Option<MoveStatus> {
         if self.status != MoveStatus::Running {
             return None;
         }
-        if let Verdict::Bad { .. } = self.tally.verdict() {
+        if self.fault().is_some() {
             return Some(MoveStatus::RolledBack);
         }
+        let sum = self.sum();
         let elapsed = now.saturating_duration_since(self.seen);
-        let part = if is_turn { DECIDE_PERCENT } else { ANYONE_PERCENT };
-        let is_due = elapsed >= self.order.duration * part / 100;
-        let is_tried = self.tally.new.requests() >= LEAST_REQUESTS;
-        (is_due && is_tried).then_some(MoveStatus::Completed)
+        let is_past = |percent| elapsed >= self.order.duration * percent / 100;
+        let is_due = match duty {
+            MoveDuty::Reporter => false,
+            MoveDuty::StandIn => is_past(STAND_IN_PERCENT),
+            // A service with few requests is not worth a longer wait.
+            MoveDuty::FirstJudge if sum.is_tried() => is_past(DECIDE_PERCENT),
+            MoveDuty::FirstJudge => is_past(STAND_IN_PERCENT),
+        };
+        if !is_due {
+            return None;
+        }
+        // A version that has served nothing was never there.
+        let is_served = sum.new.requests() > 0;
+        Some(if is_served {
+            MoveStatus::Completed
+        } else {
+            MoveStatus::RolledBack
+        })
+    }
+
+    /// What shows that the target is bad, to this gateway or to all.
+    fn fault(&self) -> Option<String> {
+        for tally in [&self.tally, &self.sum()] {
+            if let Verdict::Bad { reason } = tally.verdict() {
+                return Some(reason);
+            }
+        }
+        None
+    }
+
+    /// Time until a sound target is due, if that is still to come.
+    fn time_left(&self, now: Instant) -> Option<Duration> {
+        let percents = [DECIDE_PERCENT, STAND_IN_PERCENT];
+        let dues = percents.map(|p| self.seen + self.order.duration * p / 100);
+        let due = dues.into_iter().find(|due| *due > now)?;
+        (self.status == MoveStatus::Running).then(|| due - now)
     }
 
     /// Takes a status that is decided here or elsewhere.
@@ -129,34 +227,42 @@
 
 /// Drives the moves for as long as the task lives.
 pub(super) async fn run_moves(core: Rc<GatewayCore>) {
-    let ticks = core.timer.subscribe(ROUND);
-    loop {
-        ticks.tick().await;
+    for round in 0_u32.. {
+        core.timer.sleep(core.next_round(Instant::now())).await;
         let services: Vec<String> =
             core.moves.borrow().keys().cloned().collect();
         for service in services {
-            drive(&core, &service).await;
+            drive(&core, &service, round % REPORT_ROUNDS == 0).await;
         }
     }
 }
 
-async fn drive(core: &Rc<GatewayCore>, service: &str) {
-    let is_turn = core.directory.is_first_for(service);
-    let now = Instant::now();
+async fn drive(core: &Rc<GatewayCore>, service: &str, reports: bool) {
     let known = core.moves.borrow().get(service).cloned();
     let Some(known) = known.filter(|known| !known.is_written) else {
         return;
     };
-    let decided = known.decide(is_turn, now);
+    let mut judges = core.directory.ranked_entry_vms(service);
+    judges.truncate(JUDGES);
+    let place = judges.iter().position(|vm| *vm == core.id.vm);
+    let duty = MoveDuty::at_place(place);
+    if reports && known.status == MoveStatus::Running {
+        let evidence = encode_tally(&known.tally);
+        send_report(core, &known, &judges, evidence, false);
+    }
+    let decided = known.decide(duty, Instant::now());
     if let Some(status) = decided {
-        core.take_move_status(service, status, "own evidence");
+        let fault = known.fault();
+        let reason = fault.as_deref().unwrap_or("nothing speaks against it");
+        core.take_move_status(service, status, reason);
         if status == MoveStatus::RolledBack {
-            tell_peers(core, &known).await;
+            let all = core.directory.ranked_entry_vms(service);
+            send_report(core, &known, &all, String::new(), true);
         }
     }
     // A status that is final is written by everyone until it is there.
     let status = decided.unwrap_or(known.status);
-    let writes = status != MoveStatus::Running || is_turn;
+    let writes = status != MoveStatus::Running || duty == MoveDuty::FirstJudge;
     let written = if writes {
         core.ports.moves.write(&known.order, status).await
     } else {
@@ -177,30 +283,49 @@
     }
 }
 
-/// Tells the other routers that a target is bad.
-async fn tell_peers(core: &Rc<GatewayCore>, known: &ServiceMove) {
+fn encode_tally(tally: &EvidenceTally) -> String {
+    // Counters by route are always serializable.
+    serde_json::to_string(tally).unwrap_or_default()
+}
+
+/// Sends evidence, or the word that a target is bad, to other gateways.
+fn send_report(
+    core: &Rc<GatewayCore>,
+    known: &ServiceMove,
+    vms: &[String],
+    evidence: String,
+    tripped: bool,
+) {
     let report = EvidenceReport {
         holder: core.id.clone(),
         move_id: known.order.number,
-        evidence: String::new(),
-        tripped: true,
+        evidence,
+        tripped,
     };
-    let mut peers = Vec::new();
-    for (vm, entry) in core.directory.vms().iter() {
-        let is_other = entry.role == VmRole::Entry && *vm != core.id.vm;
-        peers.extend(entry.peer_address.filter(|_| is_other));
-    }
-    for peer in peers {
+    for vm in vms {
+        let peer = core.directory.peer_address(vm);
+        let Some(peer) = peer.filter(|_| *vm != core.id.vm) else {
+            continue;
+        };
         let (core, report) = (core.clone(), report.clone());
         monoio::spawn(async move {
             let call = PeerCall::Evidence(report);
-            // A peer that is missed sees the fault itself or the status.
+            // Reports are cumulative, and a peer that misses the word sees
+            // the status.
             let _ = core.ports.peers.call(peer, call).await;
         });
     }
 }
 
 impl GatewayCore {
+    /// Time until the next round of the driver, which is soon after a move
+    /// is due: little of its time is left then.
+    fn next_round(&self, now: Instant) -> Duration {
+        let moves = self.moves.borrow();
+        let left = moves.values().filter_map(|known| known.time_left(now));
+        left.fold(ROUND, Duration::min)
+    }
+
     /// Takes an order into account.
     pub(super) fn take_order(&self, order: MoveOrder) {
         let mut moves = self.moves.borrow_mut();
@@ -236,18 +361,27 @@
         }
     }
 
-    /// Takes a peer's word that the target of a move is bad.
-    pub(super) fn take_trip(&self, report: &EvidenceReport) {
-        let mut service = None;
-        for (name, known) in self.moves.borrow().iter() {
-            if known.order.number == report.move_id && report.tripped {
-                service = Some(name.clone());
+    /// Takes what another gateway has seen of a move, or its word that the
+    /// target is bad.
+    pub(super) fn take_evidence(&self, report: EvidenceReport) {
+        let mut moves = self.moves.borrow_mut();
+        let mut known = moves
+            .iter_mut()
+            .filter(|(_, known)| known.order.number == report.move_id);
+        let Some((service, known)) = known.next() else {
+            return;
+        };
+        if !report.tripped {
+            match serde_json::from_str(&report.evidence) {
+                Ok(tally) => known.take_report(report.holder, tally),
+                Err(err) => note_unreadable(&report.holder.vm, err),
             }
+            return;
         }
-        if let Some(service) = service {
-            let status = MoveStatus::RolledBack;
-            self.take_move_status(&service, status, &report.holder.vm);
-        }
+        let service = service.clone();
+        drop(moves);
+        let status = MoveStatus::RolledBack;
+        self.take_move_status(&service, status, &report.holder.vm);
     }
 
     /// The versions that take a request.
@@ -277,6 +411,15 @@
         let latency = latency.map(|time| time.as_micros() as u64);
         known.note(version, route, failed, latency);
     }
+
+    /// Notes the mean time between events of a stream, for the moves.
+    pub(super) fn note_pace(&self, key: &PaceKey, gap: Duration) {
+        let mut moves = self.moves.borrow_mut();
+        if let Some(known) = moves.get_mut(&key.service) {
+            let gap_us = gap.as_micros() as u64;
+            known.note_pace(&key.version, &key.route, gap_us);
+        }
+    }
 }
 
 /// The moves of a gateway by service.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,7 +23,7 @@
                     PeerAnswer::Lent((tokens > 0).then_some(reply))
                 }
                 PeerCall::Evidence(report) => {
-                    self.take_trip(&report);
+                    self.take_evidence(report);
                     PeerAnswer::Done
                 }
                 // Gateways share neither notes on bills nor control records.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 
 use bytes::BytesMut;
 
-use super::GatewayCore;
+use super::{GatewayCore, moves::PaceKey};
 use crate::{
     adapters::http::HttpResponder,
     allowance::TokenHold,
@@ -26,6 +26,13 @@
 /// Shortest pause after which an upstream counts as silent.
 const LEAST_GAP: Duration = Duration::from_millis(800);
 
+/// Events whose mean pace is noted as one piece of evidence.
+const PACE_EVENTS: u64 = 8;
+
+/// Events that follow each other sooner are all as fast as anybody needs;
+/// how much sooner says more of the network than of the upstream.
+const FASTEST_PACE: Duration = Duration::from_millis(10);
+
 /// Events of a stream that may hold no token.
 const EMPTY_EVENTS: u64 = 2;
 
@@ -61,6 +68,10 @@
     output_ceiling: u64,
     event_tokens: u64,
     gap: Option<Duration>,
+    /// What the pace of the events is evidence of.
+    pace_key: Option<PaceKey>,
+    /// Since when, and since which event, the pace was not noted.
+    pace_start: Option<(Instant, u64)>,
     scanner: SseScanner,
     position: StreamPosition,
     /// Bytes that came since the last new event.
@@ -82,6 +93,8 @@
             output_ceiling: 0,
             event_tokens: 0,
             gap: None,
+            pace_key: None,
+            pace_start: None,
             scanner: SseScanner::new(),
             position,
             idle_bytes: 0,
@@ -111,6 +124,12 @@
         self
     }
 
+    /// Notes the pace of the events as evidence.
+    pub(super) fn with_pace(mut self, key: PaceKey) -> EventRelay<'a> {
+        self.pace_key = Some(key);
+        self
+    }
+
     /// Waits for the upstream as long as the request has time.
     pub(super) fn wait_on(&mut self) {
         self.gap = None;
@@ -226,12 +245,30 @@
             self.idle_bytes = self.scanner.len();
             chunk.extend_from_slice(&event.bytes);
         }
+        self.note_pace();
         let output = self.position.events * self.event_tokens;
         let output = output.min(self.output_ceiling);
         self.hold.note_used(self.prompt_tokens + output);
         chunk
     }
 
+    /// Notes the pace once there are enough events, or all of them.
+    fn note_pace(&mut self) {
+        let events = self.position.events;
+        let Some((start, first)) = self.pace_start else {
+            let began = events > 0;
+            self.pace_start = began.then(|| (Instant::now(), events));
+            return;
+        };
+        let count = events - first;
+        let is_due = count >= PACE_EVENTS || self.ended && count > 0;
+        if let Some(key) = self.pace_key.as_ref().filter(|_| is_due) {
+            let gap = start.elapsed() / count as u32;
+            self.core.note_pace(key, gap.max(FASTEST_PACE));
+            self.pace_start = Some((Instant::now(), events));
+        }
+    }
+
     /// Whether there are more events than tokens that were asked for.
     fn has_overrun(&self) -> bool {
         let ceiling = self.output_ceiling;
--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -59,8 +59,11 @@
     /// Counters of one version by route.
     #[derive(Default)]
     pub struct VersionEvidence {
-        /// The counters.
+        /// The counters of requests.
         pub routes: BTreeMap<String, RouteEvidence>,
+        /// The counters of streams, which note the time between two events.
+        #[serde(default)]
+        pub streams: BTreeMap<String, RouteEvidence>,
     }
 
     /// What one router has seen of a move since its start.
@@ -139,11 +142,12 @@
         failed: bool,
         latency_us: Option<u64>,
     ) {
-        let known = self.routes.contains_key(route);
-        let counted = known || self.routes.len() < COUNTED_ROUTES;
-        let route = if counted { route } else { OTHER_ROUTE };
-        let entry = self.routes.entry(route.to_owned()).or_default();
-        entry.note(failed, latency_us);
+        counters_of(&mut self.routes, route).note(failed, latency_us);
+    }
+
+    /// Counts a part of a stream with its mean time between two events.
+    pub fn note_pace(&mut self, route: &str, gap_us: u64) {
+        counters_of(&mut self.streams, route).note(false, Some(gap_us));
     }
 
     /// Adds the counters of another router.
@@ -151,12 +155,16 @@
         for (route, evidence) in &other.routes {
             self.routes.entry(route.clone()).or_default().add(evidence);
         }
+        for (route, evidence) in &other.streams {
+            self.streams.entry(route.clone()).or_default().add(evidence);
+        }
     }
 
     /// Halves the counters of routes that have seen much, so that a fault
     /// that begins late is not lost in what went well before.
     pub fn decay(&mut self) {
-        for route in self.routes.values_mut() {
+        let routes = self.routes.values_mut();
+        for route in routes.chain(self.streams.values_mut()) {
             if route.requests > DECAYED_REQUESTS {
                 route.halve();
             }
@@ -167,15 +175,26 @@
     pub fn requests(&self) -> u64 {
         self.routes.values().map(|route| route.requests).sum()
     }
+}
 
-    /// Counters over all routes.
-    fn whole(&self) -> RouteEvidence {
-        let mut whole = RouteEvidence::default();
-        for route in self.routes.values() {
-            whole.add(route);
-        }
-        whole
+/// The counters of a route, or those that all further routes share.
+fn counters_of<'a>(
+    counters: &'a mut BTreeMap<String, RouteEvidence>,
+    route: &str,
+) -> &'a mut RouteEvidence {
+    let known = counters.contains_key(route);
+    let counted = known || counters.len() < COUNTED_ROUTES;
+    let route = if counted { route } else { OTHER_ROUTE };
+    counters.entry(route.to_owned()).or_default()
+}
+
+/// Counters over all routes.
+fn whole(counters: &BTreeMap<String, RouteEvidence>) -> RouteEvidence {
+    let mut whole = RouteEvidence::default();
+    for route in counters.values() {
+        whole.add(route);
     }
+    whole
 }
 
 impl EvidenceTally {
@@ -192,19 +211,37 @@
     /// condemns it if its mean lies far above the old version's, measured
     /// in standard deviations.
     pub fn verdict(&self) -> Verdict {
-        for (route, new) in &self.new.routes {
-            let old = self.old.routes.get(route).copied().unwrap_or_default();
-            if let Some(reason) = compare(&old, new) {
-                return Verdict::Bad { reason: format!("{route}: {reason}") };
-            }
-        }
-        match compare(&self.old.whole(), &self.new.whole()) {
-            Some(reason) => {
-                Verdict::Bad { reason: format!("all routes: {reason}") }
-            }
+        let requests = judge(&self.old.routes, &self.new.routes);
+        let reason = requests.or_else(|| {
+            let reason = judge(&self.old.streams, &self.new.streams);
+            reason.map(|reason| format!("events of {reason}"))
+        });
+        match reason {
+            Some(reason) => Verdict::Bad { reason },
             None => Verdict::Sound,
         }
     }
+
+    /// Whether the new version has served enough requests for a verdict to
+    /// mean something.
+    pub fn is_tried(&self) -> bool {
+        self.new.requests() >= LEAST_REQUESTS
+    }
+}
+
+/// The route on which a version is worse than the old one, and by how much.
+fn judge(
+    old: &BTreeMap<String, RouteEvidence>,
+    new: &BTreeMap<String, RouteEvidence>,
+) -> Option<String> {
+    for (route, evidence) in new {
+        let before = old.get(route).copied().unwrap_or_default();
+        if let Some(reason) = compare(&before, evidence) {
+            return Some(format!("{route}: {reason}"));
+        }
+    }
+    let reason = compare(&whole(old), &whole(new))?;
+    Some(format!("all routes: {reason}"))
 }
 
 fn compare(old: &RouteEvidence, new: &RouteEvidence) -> Option<String> {
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -13,8 +13,9 @@
         catalog::{
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
         },
+        domain::HolderId,
         entry::{EntryHealth, pick_entries},
-        gateway::{LeavePlan, ServiceMove},
+        gateway::{LeavePlan, MoveDuty, ServiceMove},
         membership::{
             OutageWatch, RosterChange, UpstreamRoster, VmDirectory,
             rendezvous_weight,
@@ -520,7 +521,7 @@
         bad += u32::from(failed);
         after += u32::from(is_new && bad > 50);
         known.note(version, "route", failed, Some(80_000));
-        if let Some(status) = known.decide(true, now) {
+        if let Some(status) = known.decide(MoveDuty::FirstJudge, now) {
             assert_eq!(status, MoveStatus::RolledBack);
             known.take_status(status);
         }
@@ -542,11 +543,14 @@
         known.note(version, "route", false, Some(80_000));
     }
     let early = start + Duration::from_secs(8);
-    assert_eq!(known.decide(true, early), None);
-    let due = start + Duration::from_millis(9_100);
+    assert_eq!(known.decide(MoveDuty::FirstJudge, early), None);
+    let due = start + Duration::from_millis(11_600);
     // Another gateway whose turn it is not waits a little longer.
-    assert_eq!(known.decide(false, due), None);
-    assert_eq!(known.decide(true, due), Some(MoveStatus::Completed));
+    assert_eq!(known.decide(MoveDuty::StandIn, due), None);
+    assert_eq!(
+        known.decide(MoveDuty::FirstJudge, due),
+        Some(MoveStatus::Completed)
+    );
     assert!(known.take_status(MoveStatus::Completed));
     assert_eq!(known.choice("any").only.as_deref(), Some("v2"));
 }
@@ -555,5 +559,103 @@
 fn a_version_that_nobody_has_tried_is_not_called_sound() {
     let start = Instant::now();
     let known = ServiceMove::new(order(12), start);
-    assert_eq!(known.decide(true, start + Duration::from_secs(11)), None);
+    assert_eq!(
+        known.decide(MoveDuty::FirstJudge, start + Duration::from_secs(11)),
+        None
+    );
+}
+
+/// Load pattern of a day on which a slow version was completed: 110 requests
+/// a second over five gateways, 6 in 100 of them on a version whose events
+/// take three times as long while its first events come nearly as soon. No
+/// gateway alone sees enough of it.
+#[yare::parameterized(
+    slow = { 3.0, MoveStatus::RolledBack },
+    sound = { 1.0, MoveStatus::Completed },
+    a_little_slower = { 1.15, MoveStatus::Completed },
+)]
+fn a_version_is_judged_by_what_all_gateways_see(
+    slowness: f64,
+    expected: MoveStatus,
+) {
+    const GATEWAYS: usize = 5;
+    for seed in 0..50 {
+        let start = Instant::now();
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut moves = vec![ServiceMove::new(order(15), start); GATEWAYS];
+        let mut decided = None;
+        for number in 0..1_651_u64 {
+            let now = start + Duration::from_micros(number * 9_090);
+            let chosen = random.random_range(0..GATEWAYS);
+            let known = &mut moves[chosen];
+            let id = format!("request-{seed}-{number}");
+            let is_new = known.choice(&id).only.is_some();
+            let version = if is_new { "v2" } else { "v1" };
+            let spread: f64 = random.random_range(0.4..1.6);
+            let first = if is_new { slowness.sqrt() } else { 1.0 };
+            let first_us = 900_000.0 * first * spread;
+            known.note(version, "route", false, Some(first_us as u64));
+            let pace = if is_new { slowness } else { 1.0 };
+            let pace_us = 35_000.0 * pace * random.random_range(0.7..1.3);
+            known.note_pace(version, "route", pace_us as u64);
+            if number % 50 > 0 {
+                continue;
+            }
+            for reporter in 1..GATEWAYS {
+                let from = HolderId::new(format!("vm-{reporter}"), 1);
+                let tally = moves[reporter].tally().clone();
+                moves[0].take_report(from, tally);
+            }
+            decided = moves[0].decide(MoveDuty::FirstJudge, now);
+            if decided.is_some() {
+                break;
+            }
+        }
+        assert_eq!(decided, Some(expected), "seed {seed}");
+    }
+}
+
+/// A version that is bad only once it takes everything is found by nobody.
+/// Until the end of its time it gets a tenth of the requests at most.
+#[test]
+fn a_completed_version_gets_a_tenth_until_its_time_is_over() {
+    let start = Instant::now();
+    let mut known = ServiceMove::new(order(15), start);
+    let mut to_new = 0;
+    for number in 0..15_000_u64 {
+        let now = start + Duration::from_millis(number);
+        let id = format!("request-{number}");
+        let is_new = known.choice(&id).only.is_some();
+        let version = if is_new { "v2" } else { "v1" };
+        known.note(version, "route", false, Some(80_000));
+        to_new += u64::from(is_new);
+        if number % 300 > 0 {
+            continue;
+        }
+        if let Some(status) = known.decide(MoveDuty::FirstJudge, now) {
+            known.take_status(status);
+        }
+    }
+    assert_eq!(known.choice("any").only.as_deref(), Some("v2"));
+    assert!(to_new <= 1_500, "{to_new} of 15,000 requests");
+}
+
+/// A gateway that is no judge knows too little to call a version sound.
+#[test]
+fn only_judges_complete_a_move() {
+    let start = Instant::now();
+    let mut known = ServiceMove::new(order(12), start);
+    known.note("v2", "route", false, Some(80_000));
+    let late = start + Duration::from_millis(11_900);
+    assert_eq!(known.decide(MoveDuty::Reporter, late), None);
+    assert_eq!(
+        known.decide(MoveDuty::StandIn, late),
+        Some(MoveStatus::Completed)
+    );
+    // With few requests even the first judge waits as long as it may.
+    let due = start + Duration::from_millis(11_600);
+    assert_eq!(known.decide(MoveDuty::FirstJudge, due), None);
+    assert_eq!(MoveDuty::at_place(Some(2)), MoveDuty::StandIn);
+    assert_eq!(MoveDuty::at_place(Some(3)), MoveDuty::Reporter);
+    assert_eq!(MoveDuty::at_place(None), MoveDuty::Reporter);
 }
