Take connections that do not open for no evidence on a version

A new version needs new connections while the old one is reached over open ones, so the comparison was not fair. Requests that did not reach an upstream are no evidence any more; a version that nobody reaches is taken back near its end.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -181,13 +181,17 @@
     pub(super) fn note(&self, outcome: UpstreamOutcome) {
         let upstream = self.slot.upstream();
         let is_answer = matches!(outcome, UpstreamOutcome::Answered { .. });
-        self.core.note_evidence(
-            &upstream.service,
-            &upstream.version,
-            &self.request.route.name,
-            !is_answer,
-            is_answer.then(|| self.relative_time()),
-        );
+        // A connection that does not open says nothing of the version. It
+        // may be this router's link, and a new version needs new ones.
+        if outcome != UpstreamOutcome::Unreachable {
+            self.core.note_evidence(
+                &upstream.service,
+                &upstream.version,
+                &self.request.route.name,
+                !is_answer,
+                is_answer.then(|| self.relative_time()),
+            );
+        }
         match self.slot.note_outcome(outcome) {
             Some(HealthChange::Ejected(time)) => {
                 self.core.metrics.note_event("upstream_ejected");
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -563,6 +563,10 @@
         known.decide(MoveDuty::FirstJudge, start + Duration::from_secs(11)),
         None
     );
+    // Near the end of its time it is taken back.
+    let late = start + Duration::from_millis(11_900);
+    let taken_back = Some(MoveStatus::RolledBack);
+    assert_eq!(known.decide(MoveDuty::FirstJudge, late), taken_back);
 }
 
 /// Load pattern of a day on which a slow version was completed: 110 requests
