Count requests that were refused for want of tokens as demand

Cause: its callers keep to one VM, which is cut off from 1 to 13 s and uses up its tokens. From then on it refuses; refusals come back, 90 requests a second become 200 and more, and their bodies fill the link of 10 Mbit/s so that calls to the store time out after the cut too. When one gets through it asks for what requests wait for just then and for 8 s of what was served lately, both next to nothing: the state sustains itself.

Now a request that waits or is refused counts as demand, so that the first append that gets through brings tokens for all that come.

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -311,13 +311,26 @@
         account: &str,
         tokens: u64,
         now: Instant,
+    ) -> bool {
+        let is_reserved = self.reserve_unmet(account, tokens, now);
+        if is_reserved {
+            self.own_use(account, now).sizer.note(tokens, now);
+        }
+        is_reserved
+    }
+
+    /// The same for a request that [`AllowanceBook::add_unmet`] has noted.
+    pub fn reserve_unmet(
+        &mut self,
+        account: &str,
+        tokens: u64,
+        now: Instant,
     ) -> bool {
         let own = self.own_use(account, now);
         if own.available() < tokens {
             return false;
         }
         own.reserved += tokens;
-        own.sizer.note(tokens, now);
         true
     }
 
@@ -330,9 +343,12 @@
         own.spent += used.min(tokens);
     }
 
-    /// Notes tokens that a request waits for.
+    /// Notes tokens that a request waits for. They are demand, whether or not
+    /// the request gets them.
     pub fn add_unmet(&mut self, account: &str, tokens: u64, now: Instant) {
-        self.own_use(account, now).unmet.push(tokens);
+        let own = self.own_use(account, now);
+        own.unmet.push(tokens);
+        own.sizer.note(tokens, now);
     }
 
     /// Takes back what [`AllowanceBook::add_unmet`] noted.
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -190,7 +190,7 @@
         self.urgent.notify_one();
         loop {
             let changed = self.changed.notified();
-            if let Some(hold) = self.try_reserve(account, tokens) {
+            if let Some(hold) = self.try_reserve_unmet(account, tokens) {
                 drop(unmet);
                 return Ok(hold);
             }
@@ -225,6 +225,17 @@
         reserved.then(|| TokenHold::new(self.clone(), account, tokens))
     }
 
+    fn try_reserve_unmet(
+        self: &Rc<Self>,
+        account: &str,
+        tokens: u64,
+    ) -> Option<TokenHold> {
+        let now = Instant::now();
+        let mut book = self.book.borrow_mut();
+        let reserved = book.reserve_unmet(account, tokens, now);
+        reserved.then(|| TokenHold::new(self.clone(), account, tokens))
+    }
+
     /// Refuses a request at once that no wait can help.
     fn check_covers(
         &self,
