Give no refusal for good by declarations that are not confirmed

A router whose calls to the store time out, on a full link or behind a cut, went on refusing for good what its old declarations did not know.

Now 401, 404 and 402 need declarations that were confirmed within 1.5 s, reads of which end each 0.8 s in calm. Otherwise the caller gets 503, not run, and may be served elsewhere at once. What the old declarations know is served as before.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -59,7 +59,10 @@
                 let call = Rc::new(call);
                 dispatch::serve(self, &call, reader, responder).await
             }
-            Err(error) => refuse(self, responder, &request_id, &error).await,
+            Err(error) => {
+                let error = self.check_final(error);
+                refuse(self, responder, &request_id, &error).await
+            }
         }
     }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -48,6 +48,10 @@
 /// `Retry-After` of a router that leaves; the others can take the request.
 const LEAVING_RETRY: Duration = Duration::from_millis(10);
 
+/// Declarations that were confirmed within this time are those in force.
+/// Reads of them wait for 0.8 s each.
+const FRESH_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time for which a router that lacks tokens is not named to callers.
 const STARVED_TIME: Duration = Duration::from_secs(2);
 
@@ -130,6 +134,8 @@
     /// Until when callers are better served by other routers.
     pub(super) starved_until: Cell<Option<Instant>>,
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
+    /// When the operators' declarations were read last.
+    pub(super) catalog_read_at: Cell<Option<Instant>>,
     pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
     /// When the registries were out of reach.
@@ -152,6 +158,32 @@
         })
     }
 
+    /// Makes a refusal for good one for now, unless it rests on declarations
+    /// that are in force.
+    ///
+    /// A route, a key or tokens that are not known here may have been added,
+    /// and routers that know of it can serve the request.
+    pub(super) fn check_final(&self, error: CallError) -> CallError {
+        let kind = match error.kind {
+            ErrorKind::UnknownPath
+            | ErrorKind::UnknownCredentials
+            | ErrorKind::UnknownService => ErrorKind::NotReady,
+            ErrorKind::BudgetExhausted => ErrorKind::BudgetUnavailable,
+            _ => return error,
+        };
+        let read_at = self.catalog_read_at.get();
+        let age = read_at.map_or(Duration::MAX, |at| at.elapsed());
+        if age < FRESH_TIME {
+            return error;
+        }
+        let message = format!(
+            "{}; the declarations here are {} ms old",
+            error.message,
+            age.as_millis()
+        );
+        CallError::new(kind, message)
+    }
+
     /// The schedule of leaving.
     pub(super) fn leave_plan(&self) -> LeavePlan {
         let settings = &self.settings;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -225,7 +225,9 @@
     async fn run(mut self, responder: &mut HttpResponder) -> CallEnd {
         let hold = match self.reserve().await {
             Ok(hold) => hold,
-            Err(error) => return CallEnd::Failed(error),
+            Err(error) => {
+                return CallEnd::Failed(self.core.check_final(error));
+            }
         };
         self.progress.tokens_at.set(self.request.arrived.elapsed());
         loop {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -34,7 +34,9 @@
         match next {
             Ok(news) => {
                 dependency.note_answer();
-                core.outage.borrow_mut().note_answer(Instant::now());
+                let now = Instant::now();
+                core.outage.borrow_mut().note_answer(now);
+                core.catalog_read_at.set(Some(now));
                 for order in news.orders {
                     core.take_order(order);
                 }
