Learn from other gateways who leaves while the store is out of reach

The VM's link was full, its calls to the store timed out, and it went on with the list that it had. Nothing but the store could tell it otherwise.

Now a gateway that fails to read the list asks another one, drawn at random, who has left in the last 10 s; open connections between gateways carry a few hundred bytes where new ones to the store do not open in time. A later start of the same upstream is another one and is not concerned.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -7,7 +7,7 @@
         ports::{
             ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
             LendRequest, MemberNews, MemberStatus, NewerState, PingMessage,
-            RelayBatch, RelayedBill,
+            RelayBatch, RelayedBill, UpstreamDeparture,
         },
     },
 };
@@ -186,6 +186,26 @@
     }
 }
 
+impl From<Vec<UpstreamDeparture>> for wire::DeparturesAnswer {
+    fn from(departures: Vec<UpstreamDeparture>) -> wire::DeparturesAnswer {
+        let departures = departures.into_iter().map(|departure| {
+            let UpstreamDeparture { upstream, started_ms } = departure;
+            wire::Departure { upstream, started_ms }
+        });
+        wire::DeparturesAnswer { departures: departures.collect() }
+    }
+}
+
+impl From<wire::DeparturesAnswer> for Vec<UpstreamDeparture> {
+    fn from(answer: wire::DeparturesAnswer) -> Vec<UpstreamDeparture> {
+        let departures = answer.departures.into_iter().map(|departure| {
+            let wire::Departure { upstream, started_ms } = departure;
+            UpstreamDeparture { upstream, started_ms }
+        });
+        departures.collect()
+    }
+}
+
 impl From<ClaimRequest> for wire::ClaimCall {
     fn from(request: ClaimRequest) -> wire::ClaimCall {
         wire::ClaimCall {
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -109,6 +109,19 @@
     #[prost(string, tag = "2")]
     pub list: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DeparturesAnswer {
+    #[prost(message, repeated, tag = "1")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// When the upstream started, in milliseconds since the epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvidenceCall {
     #[prost(message, optional, tag = "1")]
@@ -374,6 +387,29 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Evidence"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks which upstreams have left lately.
+        pub async fn departures(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Empty>,
+        ) -> std::result::Result<
+            tonic::Response<super::DeparturesAnswer>,
+            tonic::Status,
+        > {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!(
+                    "Service was not ready: {}",
+                    e.into()
+                ))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/magnolia.peer.Peer/Departures",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("magnolia.peer.Peer", "Departures"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Claims an idempotency key for a request.
         pub async fn claim(
             &mut self,
@@ -451,6 +487,14 @@
             &self,
             request: tonic::Request<super::EvidenceCall>,
         ) -> std::result::Result<tonic::Response<super::Empty>, tonic::Status>;
+        /// Asks which upstreams have left lately.
+        async fn departures(
+            &self,
+            request: tonic::Request<super::Empty>,
+        ) -> std::result::Result<
+            tonic::Response<super::DeparturesAnswer>,
+            tonic::Status,
+        >;
         /// Claims an idempotency key for a request.
         async fn claim(
             &self,
@@ -827,6 +871,52 @@
                     };
                     Box::pin(fut)
                 }
+                "/magnolia.peer.Peer/Departures" => {
+                    #[allow(non_camel_case_types)]
+                    struct DeparturesSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::Empty> for DeparturesSvc<T> {
+                        type Response = super::DeparturesAnswer;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Empty>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::departures(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings =
+                        self.accept_compression_encodings;
+                    let send_compression_encodings =
+                        self.send_compression_encodings;
+                    let max_decoding_message_size =
+                        self.max_decoding_message_size;
+                    let max_encoding_message_size =
+                        self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = DeparturesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/magnolia.peer.Peer/Claim" => {
                     #[allow(non_camel_case_types)]
                     struct ClaimSvc<T: Peer>(pub Arc<T>);
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -226,6 +226,10 @@
             client.evidence(wire::EvidenceCall::from(report)).await?;
             PeerAnswer::Done
         }
+        PeerCall::Departures => {
+            let answer = client.departures(wire::Empty {}).await?;
+            PeerAnswer::Departed(answer.into_inner().into())
+        }
         PeerCall::Claim(request) => {
             let call = wire::ClaimCall::from(request);
             PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
@@ -342,6 +346,18 @@
         Ok(Response::new(wire::Empty {}))
     }
 
+    async fn departures(
+        &self,
+        _: Request<wire::Empty>,
+    ) -> Result<Response<wire::DeparturesAnswer>, Status> {
+        match self.handle(PeerCall::Departures).await? {
+            PeerAnswer::Departed(departures) => {
+                Ok(Response::new(departures.into()))
+            }
+            _ => mismatch(),
+        }
+    }
+
     async fn claim(
         &self,
         request: Request<wire::ClaimCall>,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,14 +1,17 @@
 //! Following the declarations, the upstreams and the entry VMs.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use rand::seq::IteratorRandom;
+
 use super::GatewayCore;
 use crate::{
     membership::RosterChange,
-    ports::{UpstreamNews, VmList},
+    ports::{PeerAnswer, PeerCall, UpstreamNews, VmList},
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -69,6 +72,7 @@
                 dependency.note_fault(&fault);
                 log::debug!("upstream list: {fault}");
                 core.outage.borrow_mut().note_fault(Instant::now());
+                monoio::spawn(ask_departures(core.clone()));
             }
         }
         let reachable = core.keeper.is_healthy();
@@ -100,6 +104,32 @@
     }
 }
 
+/// Asks another gateway which upstreams have left, as long as this one
+/// cannot read it itself.
+async fn ask_departures(core: Rc<GatewayCore>) {
+    let Some((vm, peer)) = core.any_peer() else {
+        return;
+    };
+    let answer = core.ports.peers.call(peer, PeerCall::Departures).await;
+    let Ok(PeerAnswer::Departed(departures)) = answer else {
+        return;
+    };
+    let mut has_changed = false;
+    for departure in &departures {
+        if core.roster.borrow_mut().take_departure(departure) {
+            has_changed = true;
+            log::info!(
+                event:% = LogEvent::UpstreamDeparted,
+                upstream = departure.upstream.as_str(), peer = vm.as_str();
+                "upstream has left, as another router says"
+            );
+        }
+    }
+    if has_changed {
+        core.refresh_upstreams();
+    }
+}
+
 /// Drops upstreams in doubt when they could not be back any more.
 ///
 /// The next read may come later, and the upstreams may have left.
@@ -120,6 +150,17 @@
 }
 
 impl GatewayCore {
+    /// Another gateway that is believed to answer, drawn at random.
+    fn any_peer(&self) -> Option<(String, SocketAddr)> {
+        let vms = self.directory.vms();
+        let peers = vms.iter().filter_map(|(vm, entry)| {
+            let is_usable = *vm != self.id.vm && self.members.is_usable(vm);
+            let address = entry.peer_address.filter(|_| is_usable)?;
+            Some((vm.clone(), address))
+        });
+        peers.choose(&mut rand::rng())
+    }
+
     fn take_upstream_news(self: &Rc<Self>, news: Vec<UpstreamNews>) {
         let now = Instant::now();
         let mut outage = self.outage.borrow_mut();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,7 @@
 //! Answers to other routers.
 
+use std::time::Instant;
+
 use super::GatewayCore;
 use crate::{
     domain::PortionId,
@@ -26,6 +28,11 @@
                     self.take_evidence(report);
                     PeerAnswer::Done
                 }
+                PeerCall::Departures => {
+                    let now = Instant::now();
+                    let departed = self.roster.borrow().departures(now);
+                    PeerAnswer::Departed(departed)
+                }
                 // Gateways share neither notes on bills nor control records.
                 PeerCall::Relay(_)
                 | PeerCall::CatchUp(_)
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -12,12 +12,16 @@
 };
 
 use super::OutageWatch;
-use crate::ports::{UpstreamEntry, UpstreamNews};
+use crate::ports::{UpstreamDeparture, UpstreamEntry, UpstreamNews};
 
 /// Entries that lapsed in an outage are back within this time after it, if
 /// their upstreams live.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which other routers can learn from this one that an upstream has
+/// left.
+const DEPARTURE_TIME: Duration = Duration::from_secs(10);
+
 /// The identity and age of an entry: the start of its upstream and the
 /// number of the entry since then.
 type EntryAge = (u64, u64);
@@ -69,6 +73,8 @@
 pub struct UpstreamRoster {
     entries: BTreeMap<String, RosterEntry>,
     ages: BTreeMap<String, EntryAge>,
+    /// When upstreams have left, and when they had started.
+    departed: BTreeMap<String, (Instant, u64)>,
     read_at: Option<Instant>,
     /// Until when entries stay in use that the current read removes.
     lapse_end: Option<Instant>,
@@ -103,6 +109,42 @@
         self.read_at = Some(now);
     }
 
+    /// The upstreams that have left lately, for routers that cannot read it.
+    pub fn departures(&self, now: Instant) -> Vec<UpstreamDeparture> {
+        let mut departures = Vec::new();
+        for (upstream, (at, started_ms)) in &self.departed {
+            if now.saturating_duration_since(*at) < DEPARTURE_TIME {
+                let (upstream, started_ms) = (upstream.clone(), *started_ms);
+                departures.push(UpstreamDeparture { upstream, started_ms });
+            }
+        }
+        departures
+    }
+
+    /// Takes another router's word that an upstream has left; `true` if it
+    /// was in use.
+    pub fn take_departure(&mut self, departure: &UpstreamDeparture) -> bool {
+        let known = self.entries.get_mut(&departure.upstream);
+        let known = known.filter(|known| {
+            known.entry.started_ms <= departure.started_ms
+                && !known.entry.is_leaving
+        });
+        let Some(known) = known else {
+            return false;
+        };
+        known.entry.is_leaving = true;
+        true
+    }
+
+    /// Notes that an upstream leaves or has left.
+    fn note_departure(&mut self, id: &str, started_ms: u64, now: Instant) {
+        let fresh = |(at, _): &mut (Instant, u64)| {
+            now.saturating_duration_since(*at) < DEPARTURE_TIME
+        };
+        self.departed.retain(|_, departure| fresh(departure));
+        self.departed.insert(id.to_owned(), (now, started_ms));
+    }
+
     /// Takes news; without a change if they do not matter to requests.
     pub fn take(
         &mut self,
@@ -110,7 +152,9 @@
         now: Instant,
     ) -> Vec<RosterChange> {
         match news {
-            UpstreamNews::Listed(entry) => Vec::from_iter(self.list(entry)),
+            UpstreamNews::Listed(entry) => {
+                Vec::from_iter(self.list(entry, now))
+            }
             UpstreamNews::Removed(id) => Vec::from_iter(self.remove(id, now)),
             UpstreamNews::Unreadable(id) => {
                 let known = self.entries.remove(&id);
@@ -121,7 +165,11 @@
         }
     }
 
-    fn list(&mut self, entry: UpstreamEntry) -> Option<RosterChange> {
+    fn list(
+        &mut self,
+        entry: UpstreamEntry,
+        now: Instant,
+    ) -> Option<RosterChange> {
         let age = (entry.started_ms, entry.sequence);
         let id = entry.id.clone();
         let known = self.ages.get(&id).copied();
@@ -132,6 +180,11 @@
         }
         self.ages.insert(id.clone(), age);
         self.drop_former(&entry);
+        if entry.is_leaving {
+            self.note_departure(&id, entry.started_ms, now);
+        } else {
+            self.departed.remove(&id);
+        }
         let fresh = RosterEntry { entry, doubted: None };
         let before = self.entries.insert(id.clone(), fresh);
         let before = before.map(|known| known.entry);
@@ -164,7 +217,8 @@
             known.doubted = Some(until);
             return Some(RosterChange::Doubted { id, until });
         }
-        self.entries.remove(&id);
+        let known = self.entries.remove(&id)?;
+        self.note_departure(&id, known.entry.started_ms, now);
         Some(RosterChange::Changed { id })
     }
 
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -41,7 +41,7 @@
         ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
         LendRequest, MemberNews, MemberStatus, NewerState, PeerAnswer,
         PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage, RelayBatch,
-        RelayedBill,
+        RelayedBill, UpstreamDeparture,
     },
     upstream::{
         UpstreamCall, UpstreamFault, UpstreamLink, UpstreamParts,
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -136,6 +136,16 @@
     pub tripped: bool,
 }
 
+/// An upstream that gets nothing new any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamDeparture {
+    /// The identity of the upstream.
+    pub upstream: String,
+    /// When it started, in milliseconds since the epoch. A later start is
+    /// another upstream.
+    pub started_ms: u64,
+}
+
 /// Claims an idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
@@ -178,6 +188,8 @@
     CatchUp(KnownState),
     /// Reports what was seen of a version move.
     Evidence(EvidenceReport),
+    /// Asks which upstreams have left lately.
+    Departures,
     /// Claims an idempotency key.
     Claim(ClaimRequest),
 }
@@ -195,6 +207,8 @@
     Reached(bool),
     /// Shared state that is newer than what was asked with.
     Newer(NewerState),
+    /// The upstreams that have left lately.
+    Departed(Vec<UpstreamDeparture>),
     /// Who serves the key.
     Claimed(ClaimReply),
 }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -27,6 +27,8 @@
                     self.take_evidence(report);
                     PeerAnswer::Done
                 }
+                // Routers learn of upstreams from the list of VMs.
+                PeerCall::Departures => PeerAnswer::Departed(Vec::new()),
                 PeerCall::Claim(request) => {
                     let claim = self.claims.borrow_mut().claim(&request);
                     PeerAnswer::Claimed(claim)
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -94,6 +94,9 @@
     UpstreamDoubted = "upstream_doubted" ["upstream", "for_ms"];
     /// An upstream whose registration was removed did not come back.
     UpstreamGone = "upstream_gone" ["upstream"];
+    /// Another router says that an upstream has left, while this one cannot
+    /// read the list.
+    UpstreamDeparted = "upstream_departed" ["upstream", "peer"];
     /// A registration is older than the newest one known and is passed over.
     RegistrationOutdated = "registration_outdated" [
         "upstream", "known_started_ms", "known_sequence",
