Settle in one task at a time

A gateway that ended while it settled left 3,900 tokens behind and 372 of 992 unsettled, and said that all was settled. The last settlement also took what was open before for its own.

Now one holds a lock while it writes and reads back, and the last one goes on until nothing is left to give back. An append counts as in doubt from the moment it is sent, also if its task is dropped.

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use super::{
     AllowanceBook, AllowanceView, TokenHold, lending::OpenLoan,
@@ -78,6 +78,8 @@
     pub(super) reads: Cell<u64>,
     pub(super) cuts: Cell<u64>,
     pub(super) append: RefCell<AppendState>,
+    /// Held while records are written and read back.
+    pub(super) turn: Mutex<()>,
     pub(super) leaving: Cell<bool>,
     pub(super) borrowing: RefCell<BTreeSet<String>>,
     pub(super) last_loan: Cell<u64>,
@@ -120,6 +122,7 @@
             reads: Cell::new(0),
             cuts: Cell::new(0),
             append,
+            turn: Mutex::new(()),
             leaving: Cell::new(false),
             borrowing: RefCell::default(),
             last_loan: Cell::new(0),
--- a/src/allowance/sync.rs
+++ b/src/allowance/sync.rs
@@ -110,6 +110,8 @@
     /// Writes what has changed here and reads everything new, again while
     /// claims are cut.
     async fn sync(&self) -> Result<(), KeyedFault> {
+        // The last settlement of a router that ends may fall into a round.
+        let _turn = self.turn.lock().await;
         self.fence().await?;
         for _ in 0..LARGEST_CLAIMS {
             let draft = self.draft();
@@ -160,12 +162,13 @@
     }
 
     async fn append(&self, draft: &AllowanceDraft) -> Result<(), KeyedFault> {
-        let (writer, number) = {
-            let state = self.append.borrow();
+        let (writer, number, was_in_doubt) = {
+            let mut state = self.append.borrow_mut();
             if state.is_done {
                 return Ok(());
             }
-            (state.writer.clone(), state.number)
+            let was_in_doubt = std::mem::replace(&mut state.in_doubt, true);
+            (state.writer.clone(), state.number, was_in_doubt)
         };
         let mut records = Vec::with_capacity(draft.records.len());
         for (account, record) in &draft.records {
@@ -188,10 +191,11 @@
                 );
                 state.begin_epoch(1);
             }
-            Err(KeyedFault::Refused { .. }) if !state.in_doubt => {
+            Err(KeyedFault::Refused { .. }) if !was_in_doubt => {
+                state.in_doubt = false;
                 self.book.borrow_mut().abandon_open();
             }
-            Err(_) => state.in_doubt = true,
+            Err(_) => {}
         }
         done
     }
@@ -264,7 +268,19 @@
     /// Returns `false` if the topic did not take the records.
     pub async fn drain(&self, time: Duration) -> bool {
         self.leaving.set(true);
-        let synced = monoio::time::timeout(time, self.sync()).await;
-        matches!(synced, Ok(Ok(())))
+        let released = monoio::time::timeout(time, self.release()).await;
+        matches!(released, Ok(Ok(())))
+    }
+
+    /// Writes until nothing is left to give back. What was open before does
+    /// not give everything back.
+    async fn release(&self) -> Result<(), KeyedFault> {
+        loop {
+            self.sync().await?;
+            let left = self.book.borrow_mut().draft_release();
+            if left.records.is_empty() {
+                return Ok(());
+            }
+        }
     }
 }
