Wait until the output is stuck before the lines of the test come

a_reader_that_stops_reading_blocks_nobody failed once (dropped() below 14,000). Traced: the thread that writes lines tells of those that were dropped so far and counts anew. If it starts in the middle of the flood it does so once, although nothing is lost from the count in total. With its start delayed by 200 us on a scratch copy the test fails with 1,978; delayed by 500 us or more, or not at all, it passes. The test now waits until the output is stuck, then sends the same flood and asks for the same bound; with the same delays it holds.

--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -4,7 +4,7 @@
     io::{self, Write},
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -19,10 +19,14 @@
 };
 
 /// An output whose reader has stopped reading.
-struct StuckOutput;
+#[derive(Clone, Default)]
+struct StuckOutput {
+    is_stuck: Arc<AtomicBool>,
+}
 
 impl Write for StuckOutput {
     fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        self.is_stuck.store(true, Ordering::Release);
         thread::sleep(Duration::from_secs(3_600));
         Ok(0)
     }
@@ -34,8 +38,14 @@
 
 #[test]
 fn a_reader_that_stops_reading_blocks_nobody() {
-    let mut pipe = LogPipe::new("vm-1", StuckOutput);
+    let output = StuckOutput::default();
+    let mut pipe = LogPipe::new("vm-1", output.clone());
     let line = [b'x'; 200];
+    pipe.write_all(&line).unwrap();
+    // A thread that starts after the flood would tell of what was dropped.
+    while !output.is_stuck.load(Ordering::Acquire) {
+        thread::sleep(Duration::from_millis(1));
+    }
     let started = Instant::now();
     for _ in 0..20_000 {
         pipe.write_all(&line).unwrap();
