Let the written status of a move go before the own one

Found by reading: a gateway that had taken a version back by its own evidence kept to that although the status in the store said completed, after which the old upstreams end and it would have had none left. What is written is in force for all.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -171,10 +171,9 @@
         let mut has_changed = false;
         let mut doubt_end = None;
         for item in news {
-            let shown = format!("{item:?}");
             let changes = self.roster.borrow_mut().take(item, now);
             for change in changes {
-                log_change(&change, &shown, now);
+                self.log_change(&change, now);
                 match change {
                     RosterChange::Changed { .. } => has_changed = true,
                     RosterChange::Doubted { until, .. } => {
@@ -221,27 +220,35 @@
         let doubted = self.roster.borrow().doubted_count();
         self.metrics.upstreams_doubted.set(doubted as i64);
     }
-}
 
-/// Writes the line of a change; `news` is what the registry told.
-fn log_change(change: &RosterChange, news: &str, now: Instant) {
-    match change {
-        RosterChange::Changed { .. } => log::info!(
-            event:% = LogEvent::UpstreamChanged, change = news;
-            "upstream list changed: {news}"
-        ),
-        RosterChange::Doubted { id, until } => log::info!(
-            event:% = LogEvent::UpstreamDoubted,
-            upstream = id.as_str(),
-            for_ms = until.saturating_duration_since(now).as_millis() as u64;
-            "upstream is not registered any more and may come back"
-        ),
-        RosterChange::Outdated { id, started_ms, sequence } => log::info!(
-            event:% = LogEvent::RegistrationOutdated,
-            upstream = id.as_str(),
-            known_started_ms = *started_ms,
-            known_sequence = *sequence;
-            "an older registration was passed over: {news}"
-        ),
+    fn log_change(&self, change: &RosterChange, now: Instant) {
+        match change {
+            RosterChange::Changed { id } => {
+                let roster = self.roster.borrow();
+                let entry = roster.entry(id);
+                let shown = entry
+                    .map_or("gone".to_owned(), |entry| format!("{entry:?}"));
+                log::info!(
+                    event:% = LogEvent::UpstreamChanged,
+                    upstream = id.as_str(), change = shown.as_str();
+                    "upstream list changed: {id} {shown}"
+                );
+            }
+            RosterChange::Doubted { id, until } => {
+                let left = until.saturating_duration_since(now);
+                log::info!(
+                    event:% = LogEvent::UpstreamDoubted,
+                    upstream = id.as_str(), for_ms = left.as_millis() as u64;
+                    "upstream is not registered any more and may come back"
+                );
+            }
+            RosterChange::Outdated { id, started_ms, sequence } => log::info!(
+                event:% = LogEvent::RegistrationOutdated,
+                upstream = id.as_str(),
+                known_started_ms = *started_ms,
+                known_sequence = *sequence;
+                "an older registration was passed over"
+            ),
+        }
     }
 }
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -215,6 +215,16 @@
         (self.status == MoveStatus::Running).then(|| due - now)
     }
 
+    /// Takes the status that is written, which goes before one that was
+    /// decided here; `true` if it is another one.
+    pub fn take_written(&mut self, status: MoveStatus) -> bool {
+        let is_new = status != MoveStatus::Running && status != self.status;
+        if is_new {
+            self.status = status;
+        }
+        is_new
+    }
+
     /// Takes a status that is decided here or elsewhere.
     pub fn take_status(&mut self, status: MoveStatus) -> bool {
         if self.status != MoveStatus::Running || status == self.status {
@@ -270,7 +280,7 @@
     };
     match written {
         Ok(Some(found)) => {
-            core.take_move_status(service, found, "status");
+            core.take_written_status(service, found);
             let mut moves = core.moves.borrow_mut();
             let same = moves.get_mut(service);
             let same = same.filter(|m| m.order == known.order);
@@ -283,6 +293,17 @@
     }
 }
 
+fn log_decision(known: &ServiceMove, from: &str) {
+    let status = format!("{:?}", known.status);
+    log::info!(
+        event:% = LogEvent::MoveDecided,
+        service = known.order.service.as_str(),
+        to_version = known.order.target.as_str(),
+        status = status.as_str(), from;
+        "version move decided"
+    );
+}
+
 fn encode_tally(tally: &EvidenceTally) -> String {
     // Counters by route are always serializable.
     serde_json::to_string(tally).unwrap_or_default()
@@ -351,13 +372,17 @@
             return;
         };
         if known.take_status(status) {
-            let status = format!("{status:?}");
-            log::info!(
-                event:% = LogEvent::MoveDecided,
-                service, to_version = known.order.target.as_str(),
-                status = status.as_str(), from;
-                "version move decided"
-            );
+            log_decision(known, from);
+        }
+    }
+
+    /// Takes the written status of a move.
+    fn take_written_status(&self, service: &str, status: MoveStatus) {
+        let mut moves = self.moves.borrow_mut();
+        if let Some(known) = moves.get_mut(service)
+            && known.take_written(status)
+        {
+            log_decision(known, "status");
         }
     }
 
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -247,6 +247,11 @@
         gone.map(|(id, _)| id).collect()
     }
 
+    /// The entry of an upstream.
+    pub fn entry(&self, id: &str) -> Option<&UpstreamEntry> {
+        self.entries.get(id).map(|known| &known.entry)
+    }
+
     /// The upstreams that take new requests.
     pub fn usable(&self) -> impl Iterator<Item = &UpstreamEntry> {
         let entries = self.entries.values().map(|known| &known.entry);
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -88,7 +88,7 @@
     /// An upstream is used again.
     UpstreamReadmitted = "upstream_readmitted" ["upstream", "service"];
     /// A registration came, changed or went.
-    UpstreamChanged = "upstream_changed" ["change"];
+    UpstreamChanged = "upstream_changed" ["upstream", "change"];
     /// A registration was removed; the upstream stays in use for a time, in
     /// case it comes back.
     UpstreamDoubted = "upstream_doubted" ["upstream", "for_ms"];
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -644,6 +644,18 @@
     assert!(to_new <= 1_500, "{to_new} of 15,000 requests");
 }
 
+/// Two gateways decide at once, differently. What is written is in force, and
+/// the old upstreams end on it.
+#[test]
+fn the_written_status_goes_before_the_own_one() {
+    let mut known = ServiceMove::new(order(12), Instant::now());
+    assert!(known.take_status(MoveStatus::RolledBack));
+    assert!(!known.take_written(MoveStatus::Running));
+    assert!(known.take_written(MoveStatus::Completed));
+    assert!(!known.take_written(MoveStatus::Completed));
+    assert_eq!(known.choice("any").only.as_deref(), Some("v2"));
+}
+
 /// A gateway that is no judge knows too little to call a version sound.
 #[test]
 fn only_judges_complete_a_move() {
