--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -130,17 +130,23 @@
     assert_eq!(left, ["a"]);
 }
 
+/// A roster that knows `a` and has lost its registry after 2.2 s.
+fn cut_off_roster(start: Instant) -> (UpstreamRoster, OutageWatch) {
+    let mut roster = UpstreamRoster::new();
+    let mut outage = OutageWatch::new();
+    roster.begin_read(start, &outage);
+    roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
+    outage.note_fault(start + Duration::from_millis(2_200));
+    (roster, outage)
+}
+
 /// What was seen in an incident: the registry was out of reach from 2.2 to
 /// 14.6 s, and at 14.8 s an upstream took its registration away.
 #[test]
 fn a_removal_after_an_outage_is_no_lapse() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut roster = UpstreamRoster::new();
-    let mut outage = OutageWatch::new();
-    roster.begin_read(start, &outage);
-    roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
-    outage.note_fault(at(2_200));
+    let (mut roster, mut outage) = cut_off_roster(start);
     outage.note_answer(at(14_654));
     roster.begin_read(at(14_654), &outage);
     roster.take(UpstreamNews::Listed(upstream("a", 9)), at(14_654));
@@ -157,11 +163,7 @@
 fn doubt_is_counted_from_the_return_of_the_registry() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut roster = UpstreamRoster::new();
-    let mut outage = OutageWatch::new();
-    roster.begin_read(start, &outage);
-    roster.take(UpstreamNews::Listed(upstream("a", 1)), start);
-    outage.note_fault(at(2_200));
+    let (mut roster, mut outage) = cut_off_roster(start);
     outage.note_answer(at(14_090));
     outage.note_answer(at(15_498));
     roster.begin_read(at(15_498), &outage);
