--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -9,7 +9,7 @@
     adapters::http::{HttpRequest, HttpResponder, RequestReader},
     catalog::CallerLimits,
     error::CallError,
-    process::{ProcessCore, ProcessView, refuse},
+    process::{DeclaredStamp, ProcessCore, ProcessView, refuse},
 };
 
 impl ProcessCore for GatewayCore {
@@ -38,6 +38,14 @@
         declared.unwrap_or_else(|| self.settings.limits.for_callers())
     }
 
+    fn declared(&self) -> DeclaredStamp {
+        let catalog = self.catalog.borrow();
+        DeclaredStamp {
+            version: catalog.as_ref().map_or(0, |c| c.version()),
+            age: self.catalog_age(),
+        }
+    }
+
     fn error_answer(&self, error: &CallError) -> Response<Bytes> {
         self.ports.front.error_answer(error)
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -158,6 +158,12 @@
         })
     }
 
+    /// How long ago the declarations were read; zero before they are known.
+    pub(super) fn catalog_age(&self) -> Duration {
+        let read_at = self.catalog_read_at.get();
+        read_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
     /// Makes a refusal for good one for now, unless it rests on declarations
     /// that are in force.
     ///
@@ -171,8 +177,7 @@
             ErrorKind::BudgetExhausted => ErrorKind::BudgetUnavailable,
             _ => return error,
         };
-        let read_at = self.catalog_read_at.get();
-        let age = read_at.map_or(Duration::MAX, |at| at.elapsed());
+        let age = self.catalog_age();
         if age < FRESH_TIME {
             return error;
         }
@@ -232,7 +237,13 @@
     }
 
     /// Takes a catalog into use if it is newer than the one in force.
-    pub(super) fn take_catalog(&self, catalog: RouteCatalog) {
+    ///
+    /// It was asked for at `asked_at`.
+    pub(super) fn take_catalog(
+        &self,
+        catalog: RouteCatalog,
+        asked_at: Instant,
+    ) {
         let version = catalog.version();
         let known = self.catalog.borrow().as_ref().map(|c| c.version());
         if known.is_some_and(|known| known >= version) {
@@ -241,7 +252,8 @@
         self.keeper.set_prepaid(catalog.accounts());
         log::info!(
             event:% = LogEvent::CatalogApplied,
-            catalog = version, routes = catalog.route_count();
+            catalog = version, routes = catalog.route_count(),
+            read_ms = asked_at.elapsed().as_millis() as u64;
             "catalog in force"
         );
         self.metrics.catalog_version.set(version as i64);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -61,6 +61,8 @@
     upstream: RefCell<String>,
     /// Time until the tokens were set aside.
     tokens_at: Cell<Duration>,
+    /// Age of the declarations when the request had arrived.
+    catalog_age: Cell<Duration>,
     /// Age of the list of upstreams when the request left for the last time.
     list_age: Cell<Duration>,
     /// Time until the request left for the last time.
@@ -77,6 +79,7 @@
     responder: &mut HttpResponder,
 ) -> bool {
     let progress = CallProgress::default();
+    progress.catalog_age.set(core.catalog_age());
     core.note_request(&request.service);
     let end = {
         let dispatch = CallDispatch::new(core, request, &progress);
@@ -167,6 +170,7 @@
         account,
         route = request.route.name.as_str(),
         catalog = request.catalog_version,
+        catalog_age_ms = progress.catalog_age.get().as_millis() as u64,
         upstream = progress.upstream.borrow().as_str(),
         sends = progress.sends.get(),
         events = progress.events.get(),
@@ -175,6 +179,7 @@
         sent_ms = progress.sent_at.get().as_millis() as u64,
         answered_ms = progress.answered_at.get().as_millis() as u64,
         took_ms = took.as_millis() as u64,
+        limit_ms = request.route.time_limit.as_millis() as u64,
         outcome = outcome.as_str();
         "request ended"
     );
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -33,6 +33,7 @@
 pub(super) async fn run_catalog(core: Rc<GatewayCore>) {
     let dependency = DependencyLog::new("declarations");
     loop {
+        let asked_at = Instant::now();
         let next = core.ports.catalog.next().await;
         match next {
             Ok(news) => {
@@ -40,11 +41,13 @@
                 let now = Instant::now();
                 core.outage.borrow_mut().note_answer(now);
                 core.catalog_read_at.set(Some(now));
+                let read_at = (TimerService::now_ms() / 1_000) as i64;
+                core.metrics.catalog_read_at.set(read_at);
                 for order in news.orders {
                     core.take_order(order);
                 }
                 if let Some(catalog) = news.catalog {
-                    core.take_catalog(catalog);
+                    core.take_catalog(catalog, asked_at);
                     core.refresh_upstreams();
                 }
             }
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -83,9 +83,11 @@
     error: &CallError,
 ) -> bool {
     core.view().metrics.note_answer("", error.kind.code());
+    let declared = core.declared();
     log::info!(
         event:% = LogEvent::RequestRefused, request_id,
-        kind = error.kind.code();
+        kind = error.kind.code(), catalog = declared.version,
+        catalog_age_ms = declared.age.as_millis() as u64;
         "refused: {}", error.message
     );
     responder.send(core.error_answer(error)).await.is_ok()
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -48,6 +48,16 @@
     pub load: &'a Cell<usize>,
 }
 
+/// The declarations that a process goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DeclaredStamp {
+    /// Their version; 0 before any is known.
+    pub version: u64,
+    /// How long ago they were read; zero before any is known, and where
+    /// nobody keeps count.
+    pub age: Duration,
+}
+
 /// What a process that serves callers says of itself.
 pub trait ProcessCore: 'static {
     /// What all processes have.
@@ -62,6 +72,9 @@
     /// Bounds on what callers may send.
     fn caller_limits(&self) -> CallerLimits;
 
+    /// The declarations that a refusal rests on.
+    fn declared(&self) -> DeclaredStamp;
+
     /// The answer that tells a caller about an error.
     fn error_answer(&self, error: &CallError) -> Response<Bytes>;
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -20,8 +20,8 @@
 };
 pub use self::{
     life::{
-        Leaving, ProcessCore, ProcessView, ServerProcess, Serving, Starting,
-        run_process,
+        DeclaredStamp, Leaving, ProcessCore, ProcessView, ServerProcess,
+        Serving, Starting, run_process,
     },
     listen::StartFault,
 };
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -1,6 +1,6 @@
 //! How a router serves callers.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use {
     bytes::Bytes,
@@ -16,7 +16,7 @@
     catalog::CallerLimits,
     entry::{EntryAnswer, EntryHealth, rank_entries},
     error::{CallError, ErrorKind},
-    process::{ProcessCore, ProcessView},
+    process::{DeclaredStamp, ProcessCore, ProcessView},
     telemetry::{LogContext, LogEvent},
 };
 
@@ -53,6 +53,14 @@
         self.settings.limits.for_callers()
     }
 
+    fn declared(&self) -> DeclaredStamp {
+        let control = self.control.borrow();
+        DeclaredStamp {
+            version: control.fold().map_or(0, |ledger| ledger.next),
+            age: Duration::ZERO,
+        }
+    }
+
     fn error_answer(&self, error: &CallError) -> Response<Bytes> {
         error_response(error)
     }
--- a/src/telemetry/dependency.rs
+++ b/src/telemetry/dependency.rs
@@ -12,19 +12,22 @@
 #[derive(Debug)]
 pub struct DependencyLog {
     name: &'static str,
+    answered_at: Cell<Instant>,
     lost_at: Cell<Option<Instant>>,
 }
 
 impl DependencyLog {
     /// Creates the log of a dependency that answers.
     pub fn new(name: &'static str) -> DependencyLog {
-        DependencyLog { name, lost_at: Cell::new(None) }
+        let answered_at = Cell::new(Instant::now());
+        DependencyLog { name, answered_at, lost_at: Cell::new(None) }
     }
 
     /// Creates the log of a dependency that has not answered yet.
     pub fn with_loss(name: &'static str) -> DependencyLog {
-        let lost_at = Cell::new(Some(Instant::now()));
-        DependencyLog { name, lost_at }
+        let log = DependencyLog::new(name);
+        log.lost_at.set(Some(log.answered_at.get()));
+        log
     }
 
     /// Notes that the dependency did not answer.
@@ -33,15 +36,18 @@
             return;
         }
         self.lost_at.set(Some(Instant::now()));
+        let silent = self.answered_at.get().elapsed();
         log::warn!(
             event:% = LogEvent::DependencyLost,
-            dependency = self.name, fault:% = fault;
+            dependency = self.name, fault:% = fault,
+            silent_ms = silent.as_millis() as u64;
             "dependency lost: {fault}"
         );
     }
 
     /// Notes that the dependency has answered.
     pub fn note_answer(&self) {
+        self.answered_at.set(Instant::now());
         let Some(time) = self.lost_time() else {
             return;
         };
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -68,14 +68,16 @@
     /// A connection could not be accepted.
     AcceptFailed = "accept_failed" ["fault"];
     /// A message was refused before it was a request of an account.
-    RequestRefused = "request_refused" ["request_id", "kind"];
+    RequestRefused = "request_refused" [
+        "request_id", "kind", "catalog", "catalog_age_ms",
+    ];
     /// A request was refused or given up.
     RequestFailed = "request_failed" ["request_id", "kind", "retry_ms"];
     /// A request is over.
     RequestEnded = "request_ended" [
-        "request_id", "account", "route", "catalog", "upstream", "sends",
-        "events", "tokens_ms", "list_age_ms", "sent_ms", "answered_ms",
-        "took_ms", "outcome",
+        "request_id", "account", "route", "catalog", "catalog_age_ms",
+        "upstream", "sends", "events", "tokens_ms", "list_age_ms", "sent_ms",
+        "answered_ms", "took_ms", "limit_ms", "outcome",
     ];
     /// An upstream did not serve a request.
     AttemptFailed = "attempt_failed" ["request_id", "upstream"];
@@ -104,7 +106,7 @@
     /// An address belongs to another upstream now.
     UpstreamMisplaced = "upstream_misplaced" ["upstream"];
     /// A version of the declarations is in force.
-    CatalogApplied = "catalog_applied" ["catalog", "routes"];
+    CatalogApplied = "catalog_applied" ["catalog", "routes", "read_ms"];
     /// A revision of the configuration is in force.
     RevisionApplied = "revision_applied" ["revision", "who"];
     /// The list of entry VMs has changed.
@@ -133,7 +135,7 @@
     /// This router sends nothing to a new version any more.
     VersionStopped = "version_stopped" ["move_id", "reason"];
     /// Something that the process needs does not answer.
-    DependencyLost = "dependency_lost" ["dependency", "fault"];
+    DependencyLost = "dependency_lost" ["dependency", "fault", "silent_ms"];
     /// It answers again.
     DependencyRegained = "dependency_regained" ["dependency", "lost_ms"];
     /// A record is not understood and is passed over.
