--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -33,7 +33,6 @@
 pub(super) async fn run_catalog(core: Rc<GatewayCore>) {
     let dependency = DependencyLog::new("declarations");
     loop {
-        let asked_at = Instant::now();
         let next = core.ports.catalog.next().await;
         match next {
             Ok(news) => {
@@ -47,7 +46,7 @@
                     core.take_order(order);
                 }
                 if let Some(catalog) = news.catalog {
-                    core.take_catalog(catalog, asked_at);
+                    core.take_catalog(catalog, news.asked_at);
                     core.refresh_upstreams();
                 }
             }
--- a/src/ports/declared.rs
+++ b/src/ports/declared.rs
@@ -1,13 +1,15 @@
 //! What operators have declared, and which upstreams have registered.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
 use super::{KeyedFault, MoveOrder, PortFuture};
 use crate::catalog::RouteCatalog;
 
 /// What operators have declared since the last call.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DeclaredNews {
+    /// When the question was asked. What was declared later is not in it.
+    pub asked_at: Instant,
     /// A catalog, if a new one was declared.
     pub catalog: Option<RouteCatalog>,
     /// Orders to move services to other versions.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,11 +1,15 @@
 //! Starting the runtime of the data path.
 
 mod launch;
+mod overlap;
 
 use std::{future::Future, io, time::Duration};
 
-pub use self::launch::{
-    EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
+pub use self::{
+    launch::{
+        EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
+    },
+    overlap::{OverlapOptions, OverlappedCalls, TimedAnswer},
 };
 
 /// Runs a future to its end on the legacy driver.
--- /dev/null
+++ b/src/runtime/overlap.rs
@@ -0,0 +1,137 @@
+//! Calls of which a late one does not hold up the next.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    future::Future,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::Notify;
+
+/// How far repeated calls overlap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OverlapOptions {
+    /// A call that takes longer is overdue, and another one begins.
+    pub overdue: Duration,
+    /// Most calls under way at once.
+    pub most: usize,
+}
+
+/// An answer with the moment of its question.
+///
+/// What it says was true at some moment after the question. How long the
+/// answer itself was on its way is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimedAnswer<T> {
+    /// When the call began.
+    pub asked_at: Instant,
+    /// The answer.
+    pub value: T,
+}
+
+struct OverlapState<T> {
+    answers: RefCell<VecDeque<TimedAnswer<T>>>,
+    arrived: Notify,
+    under_way: Cell<usize>,
+    /// When the newest call began, while it has no answer.
+    pending: Cell<Option<Instant>>,
+}
+
+/// Calls of the same kind, each in a task of its own.
+///
+/// On a link where packets wait, answers come late but they come. A reader
+/// that gives each call up and begins anew gets none of them; one that
+/// waits for each before it asks again is late by two round trips.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use magnoliahaven::runtime::{OverlapOptions, OverlappedCalls, block_on};
+///
+/// let overdue = Duration::from_millis(50);
+/// let calls = OverlappedCalls::new(OverlapOptions { overdue, most: 2 });
+/// let answer = block_on(async { calls.next(|| async { 7 }).await });
+/// assert_eq!(answer.unwrap().value, 7);
+/// ```
+pub struct OverlappedCalls<T> {
+    options: OverlapOptions,
+    state: Rc<OverlapState<T>>,
+}
+
+impl<T: 'static> OverlappedCalls<T> {
+    /// Creates a series of calls of which none has begun.
+    pub fn new(options: OverlapOptions) -> OverlappedCalls<T> {
+        let state = OverlapState {
+            answers: RefCell::default(),
+            arrived: Notify::new(),
+            under_way: Cell::new(0),
+            pending: Cell::new(None),
+        };
+        OverlappedCalls { options, state: Rc::new(state) }
+    }
+
+    /// An answer that has arrived and was not taken yet.
+    pub fn take_arrived(&self) -> Option<TimedAnswer<T>> {
+        self.state.answers.borrow_mut().pop_front()
+    }
+
+    /// Waits for the next answer of any call.
+    ///
+    /// Begins a call unless one is under way that is not overdue.
+    pub async fn next<F>(&self, make: impl Fn() -> F) -> TimedAnswer<T>
+    where
+        F: Future<Output = T> + 'static,
+    {
+        loop {
+            if let Some(answer) = self.take_arrived() {
+                return answer;
+            }
+            if self.is_due() {
+                self.begin(make());
+            }
+            monoio::select! {
+                () = self.state.arrived.notified() => {}
+                () = super::sleep(self.time_left()) => {}
+            }
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        let has_room = self.state.under_way.get() < self.options.most;
+        has_room && self.time_left().is_zero()
+    }
+
+    /// Time until the newest call is overdue; zero if there is none.
+    fn time_left(&self) -> Duration {
+        let overdue = self.options.overdue;
+        let pending = self.state.pending.get();
+        let left = pending.map(|at| overdue.saturating_sub(at.elapsed()));
+        let is_full = self.state.under_way.get() >= self.options.most;
+        match left {
+            Some(left) if !is_full || !left.is_zero() => left,
+            None if !is_full => Duration::ZERO,
+            _ => overdue,
+        }
+    }
+
+    fn begin(&self, call: impl Future<Output = T> + 'static) {
+        let state = self.state.clone();
+        let asked_at = Instant::now();
+        state.under_way.set(state.under_way.get() + 1);
+        state.pending.set(Some(asked_at));
+        monoio::spawn(async move {
+            let value = call.await;
+            state.under_way.set(state.under_way.get() - 1);
+            if state.pending.get() == Some(asked_at) {
+                state.pending.set(None);
+            }
+            let answer = TimedAnswer { asked_at, value };
+            state.answers.borrow_mut().push_back(answer);
+            state.arrived.notify_one();
+        });
+    }
+}
