--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -48,8 +48,8 @@
 /// `Retry-After` of a router that leaves; the others can take the request.
 const LEAVING_RETRY: Duration = Duration::from_millis(10);
 
-/// Declarations that were confirmed within this time are those in force.
-/// Reads of them wait for 0.8 s each.
+/// Declarations that were confirmed within this time are those in force: a
+/// change has to be within 2 s. Reads of them wait for 0.5 s each.
 const FRESH_TIME: Duration = Duration::from_millis(1_500);
 
 /// Time for which a router that lacks tokens is not named to callers.
@@ -134,8 +134,8 @@
     /// Until when callers are better served by other routers.
     pub(super) starved_until: Cell<Option<Instant>>,
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
-    /// When the operators' declarations were read last.
-    pub(super) catalog_read_at: Cell<Option<Instant>>,
+    /// Since when changes of the operators' declarations may be unknown here.
+    pub(super) catalog_confirmed_at: Cell<Option<Instant>>,
     pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
     /// When the registries were out of reach.
@@ -158,10 +158,21 @@
         })
     }
 
-    /// How long ago the declarations were read; zero before they are known.
+    /// How long ago the declarations were confirmed; zero before they are
+    /// known.
     pub(super) fn catalog_age(&self) -> Duration {
-        let read_at = self.catalog_read_at.get();
-        read_at.map_or(Duration::ZERO, |at| at.elapsed())
+        let confirmed_at = self.catalog_confirmed_at.get();
+        confirmed_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Notes that the declarations here are those of `asked_at`, when the
+    /// question was asked. Its answer may have been long on its way.
+    pub(super) fn confirm_catalog(&self, asked_at: Instant) {
+        let confirmed_at = self.catalog_confirmed_at.get();
+        self.catalog_confirmed_at.set(confirmed_at.max(Some(asked_at)));
+        let age = self.catalog_age().as_millis() as u64;
+        let confirmed_ms = TimerService::now_ms().saturating_sub(age);
+        self.metrics.catalog_confirmed_at.set((confirmed_ms / 1_000) as i64);
     }
 
     /// Makes a refusal for good one for now, unless it rests on declarations
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -37,11 +37,8 @@
         match next {
             Ok(news) => {
                 dependency.note_answer();
-                let now = Instant::now();
-                core.outage.borrow_mut().note_answer(now);
-                core.catalog_read_at.set(Some(now));
-                let read_at = (TimerService::now_ms() / 1_000) as i64;
-                core.metrics.catalog_read_at.set(read_at);
+                core.outage.borrow_mut().note_answer(Instant::now());
+                core.confirm_catalog(news.asked_at);
                 for order in news.orders {
                     core.take_order(order);
                 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -152,7 +152,7 @@
         in_progress: Cell::new(0),
         starved_until: Cell::new(None),
         catalog: RefCell::new(None),
-        catalog_read_at: Cell::new(None),
+        catalog_confirmed_at: Cell::new(None),
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageWatch::new()),
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -53,7 +53,7 @@
 pub struct DeclaredStamp {
     /// Their version; 0 before any is known.
     pub version: u64,
-    /// How long ago they were read; zero before any is known, and where
+    /// How long ago they were confirmed; zero before any is known, and where
     /// nobody keeps count.
     pub age: Duration,
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -35,9 +35,9 @@
     pub connections: IntGauge,
     /// Version of the catalog in force.
     pub catalog_version: IntGauge,
-    /// When the operators' declarations were read last, in seconds since the
-    /// epoch.
-    pub catalog_read_at: IntGauge,
+    /// When the operators' declarations were confirmed last, in seconds since
+    /// the epoch.
+    pub catalog_confirmed_at: IntGauge,
     /// Upstreams in use.
     pub upstreams: IntGauge,
     /// Upstreams in use whose registration was removed.
@@ -118,9 +118,9 @@
                 "magnolia_catalog_version",
                 "Version of the catalog in force; 0 before the first one.",
             ),
-            catalog_read_at: gauge(
-                "magnolia_catalog_read_timestamp_seconds",
-                "When the operators' declarations were read last.",
+            catalog_confirmed_at: gauge(
+                "magnolia_catalog_confirmed_timestamp_seconds",
+                "When the operators' declarations were confirmed last.",
             ),
             upstreams: gauge("magnolia_upstreams", "Upstreams in use."),
             upstreams_doubted: gauge(
@@ -160,7 +160,7 @@
             Box::new(self.held_bytes.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.catalog_version.clone()),
-            Box::new(self.catalog_read_at.clone()),
+            Box::new(self.catalog_confirmed_at.clone()),
             Box::new(self.upstreams.clone()),
             Box::new(self.entry_vms.clone()),
             Box::new(self.store_reachable.clone()),
