--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -1,13 +1,16 @@
 //! Conversions between the messages of the port and those of the wire.
 
+use std::time::Duration;
+
 use {
     super::generated as wire,
     crate::{
         domain::{BillId, HolderId, PortionId},
         ports::{
-            ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
-            LendRequest, MemberNews, MemberStatus, NewerState, PingMessage,
-            RelayBatch, RelayedBill, UpstreamDeparture,
+            ClaimReply, ClaimRequest, DeclaredState, EvidenceReport,
+            KnownState, LendReply, LendRequest, MemberNews, MemberStatus,
+            NewerState, PingMessage, RelayBatch, RelayedBill,
+            UpstreamDeparture,
         },
     },
 };
@@ -284,3 +287,28 @@
         }
     }
 }
+
+impl From<Option<DeclaredState>> for wire::DeclaredAnswer {
+    fn from(state: Option<DeclaredState>) -> wire::DeclaredAnswer {
+        let Some(state) = state else {
+            return wire::DeclaredAnswer::default();
+        };
+        wire::DeclaredAnswer {
+            version: Some(state.version),
+            age_ms: state.age.as_millis() as u64,
+            in_force_ms: state.in_force.as_millis() as u64,
+            text: state.text.unwrap_or_default(),
+        }
+    }
+}
+
+impl From<wire::DeclaredAnswer> for Option<DeclaredState> {
+    fn from(answer: wire::DeclaredAnswer) -> Option<DeclaredState> {
+        Some(DeclaredState {
+            version: answer.version?,
+            age: Duration::from_millis(answer.age_ms),
+            in_force: Duration::from_millis(answer.in_force_ms),
+            text: (!answer.text.is_empty()).then_some(answer.text),
+        })
+    }
+}
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -109,6 +109,27 @@
     #[prost(string, tag = "2")]
     pub list: ::prost::alloc::string::String,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DeclaredCall {
+    /// The text is wanted if its version is newer than this one.
+    #[prost(uint64, optional, tag = "1")]
+    pub text_after: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DeclaredAnswer {
+    /// Absent before any are known.
+    #[prost(uint64, optional, tag = "1")]
+    pub version: ::core::option::Option<u64>,
+    /// How long ago they were confirmed, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// How long they have been in force at the sender, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub in_force_ms: u64,
+    /// Empty if it was not wanted.
+    #[prost(string, tag = "4")]
+    pub text: ::prost::alloc::string::String,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DeparturesAnswer {
     #[prost(message, repeated, tag = "1")]
@@ -410,6 +431,29 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Departures"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks which declarations of the operators are in force.
+        pub async fn declared(
+            &mut self,
+            request: impl tonic::IntoRequest<super::DeclaredCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::DeclaredAnswer>,
+            tonic::Status,
+        > {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!(
+                    "Service was not ready: {}",
+                    e.into()
+                ))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/magnolia.peer.Peer/Declared",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("magnolia.peer.Peer", "Declared"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Claims an idempotency key for a request.
         pub async fn claim(
             &mut self,
@@ -495,6 +539,14 @@
             tonic::Response<super::DeparturesAnswer>,
             tonic::Status,
         >;
+        /// Asks which declarations of the operators are in force.
+        async fn declared(
+            &self,
+            request: tonic::Request<super::DeclaredCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::DeclaredAnswer>,
+            tonic::Status,
+        >;
         /// Claims an idempotency key for a request.
         async fn claim(
             &self,
@@ -917,6 +969,55 @@
                     };
                     Box::pin(fut)
                 }
+                "/magnolia.peer.Peer/Declared" => {
+                    #[allow(non_camel_case_types)]
+                    struct DeclaredSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer>
+                        tonic::server::UnaryService<super::DeclaredCall>
+                        for DeclaredSvc<T>
+                    {
+                        type Response = super::DeclaredAnswer;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::DeclaredCall>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::declared(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings =
+                        self.accept_compression_encodings;
+                    let send_compression_encodings =
+                        self.send_compression_encodings;
+                    let max_decoding_message_size =
+                        self.max_decoding_message_size;
+                    let max_encoding_message_size =
+                        self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = DeclaredSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/magnolia.peer.Peer/Claim" => {
                     #[allow(non_camel_case_types)]
                     struct ClaimSvc<T: Peer>(pub Arc<T>);
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -34,6 +34,13 @@
 /// Longest time for a call to a peer.
 const CALL_TIME: Duration = Duration::from_millis(250);
 
+/// The same for a call of a router that gets no answers from the platform.
+/// Packets may wait on its own link.
+const PATIENT_TIME: Duration = Duration::from_millis(1_500);
+
+/// The same for a call whose answer is large.
+const TEXT_TIME: Duration = Duration::from_secs(5);
+
 /// Longest time for an inbound call to be answered by the router.
 const HANDLE_TIME: Duration = Duration::from_secs(2);
 
@@ -158,8 +165,9 @@
     while let Some(outbound) = calls.recv().await {
         let channels = channels.clone();
         tokio::spawn(async move {
+            let time = call_time(&outbound.call);
             let send = send_call(&channels, outbound.peer, outbound.call);
-            let reply = match tokio::time::timeout(CALL_TIME, send).await {
+            let reply = match tokio::time::timeout(time, send).await {
                 Ok(Ok(answer)) => Ok(answer),
                 Ok(Err(status)) => unreachable(status.message()),
                 Err(_) => unreachable("timed out"),
@@ -170,6 +178,17 @@
     }
 }
 
+/// Longest time for a call.
+fn call_time(call: &PeerCall) -> Duration {
+    match call {
+        PeerCall::Declared { text_after: Some(_) } => TEXT_TIME,
+        PeerCall::Declared { text_after: None } | PeerCall::Departures => {
+            PATIENT_TIME
+        }
+        _ => CALL_TIME,
+    }
+}
+
 fn unreachable(reason: &str) -> Result<PeerAnswer, PeerFault> {
     Err(PeerFault::Unreachable { reason: reason.to_owned() })
 }
@@ -185,7 +204,7 @@
     }
     let endpoint = Endpoint::from_shared(format!("http://{peer}"));
     let endpoint = endpoint.map_err(|e| Status::internal(e.to_string()))?;
-    let channel = endpoint.connect_timeout(CALL_TIME).connect_lazy();
+    let channel = endpoint.connect_timeout(PATIENT_TIME).connect_lazy();
     channels.insert(peer, channel.clone());
     Ok(channel)
 }
@@ -230,6 +249,11 @@
             let answer = client.departures(wire::Empty {}).await?;
             PeerAnswer::Departed(answer.into_inner().into())
         }
+        PeerCall::Declared { text_after } => {
+            let call = wire::DeclaredCall { text_after };
+            let answer = client.declared(call).await?;
+            PeerAnswer::Declared(answer.into_inner().into())
+        }
         PeerCall::Claim(request) => {
             let call = wire::ClaimCall::from(request);
             PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
@@ -358,6 +382,17 @@
         }
     }
 
+    async fn declared(
+        &self,
+        request: Request<wire::DeclaredCall>,
+    ) -> Result<Response<wire::DeclaredAnswer>, Status> {
+        let text_after = request.into_inner().text_after;
+        match self.handle(PeerCall::Declared { text_after }).await? {
+            PeerAnswer::Declared(state) => Ok(Response::new(state.into())),
+            _ => mismatch(),
+        }
+    }
+
     async fn claim(
         &self,
         request: Request<wire::ClaimCall>,
--- /dev/null
+++ b/src/gateway/confirm.rs
@@ -0,0 +1,115 @@
+//! Asking other gateways for the declarations that cannot be read.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use super::GatewayCore;
+use crate::{
+    ports::{DeclaredCatalog, DeclaredState, PeerAnswer, PeerCall},
+    telemetry::LogEvent,
+};
+
+/// Time between two looks at the age of the declarations.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Pause after another gateway could not help.
+const ASK_PAUSE: Duration = Duration::from_millis(750);
+
+/// Asks other gateways whenever the own reads are late, for as long as the
+/// task lives.
+pub(super) async fn run_confirmation(core: Rc<GatewayCore>) {
+    loop {
+        core.timer.sleep(LOOK_PERIOD).await;
+        if !core.declared.borrow().is_doubted(Instant::now()) {
+            continue;
+        }
+        ask_peer(&core).await;
+        if core.declared.borrow().is_doubted(Instant::now()) {
+            core.timer.sleep(ASK_PAUSE).await;
+        }
+    }
+}
+
+/// Asks one gateway, and takes its declarations if they are newer.
+async fn ask_peer(core: &Rc<GatewayCore>) {
+    let Some((vm, peer)) = core.any_peer() else {
+        return;
+    };
+    let asked_at = Instant::now();
+    let Some(state) = call_peer(core, peer, None).await else {
+        return;
+    };
+    let known = core.declared.borrow().version();
+    if known >= Some(state.version) {
+        core.take_confirmation(&vm, &state, asked_at);
+        return;
+    }
+    core.note_newer(&vm, &state);
+    // The text is large. What it replaces must not be used meanwhile.
+    let asked_at = Instant::now();
+    let text_after = Some(known.unwrap_or_default());
+    let Some(state) = call_peer(core, peer, text_after).await else {
+        return;
+    };
+    let Some(text) = state.text.as_deref() else {
+        return;
+    };
+    if let Some(catalog) = core.ports.catalog.decode(text) {
+        let declared = DeclaredCatalog { catalog, text: text.into() };
+        core.take_catalog(declared, asked_at, &vm);
+        core.take_confirmation(&vm, &state, asked_at);
+    }
+}
+
+async fn call_peer(
+    core: &GatewayCore,
+    peer: SocketAddr,
+    text_after: Option<u64>,
+) -> Option<DeclaredState> {
+    let call = PeerCall::Declared { text_after };
+    match core.ports.peers.call(peer, call).await {
+        Ok(PeerAnswer::Declared(state)) => state,
+        // Another one is asked next.
+        Ok(_) | Err(_) => None,
+    }
+}
+
+impl GatewayCore {
+    /// Takes the word of another gateway for the declarations here.
+    fn take_confirmation(
+        &self,
+        vm: &str,
+        state: &DeclaredState,
+        asked_at: Instant,
+    ) {
+        let version = self.declared.borrow().version();
+        let confirmed_at = asked_at.checked_sub(state.age);
+        let Some(at) = confirmed_at.filter(|_| version == Some(state.version))
+        else {
+            return;
+        };
+        self.confirm_catalog(at);
+        log::info!(
+            event:% = LogEvent::CatalogConfirmed,
+            catalog = state.version, peer = vm,
+            age_ms = at.elapsed().as_millis() as u64;
+            "declarations confirmed by another router"
+        );
+    }
+
+    fn note_newer(&self, vm: &str, state: &DeclaredState) {
+        let mut declared = self.declared.borrow_mut();
+        let known = declared.version().unwrap_or_default();
+        let since = Instant::now().checked_sub(state.in_force);
+        declared.note_newer(state.version, since.unwrap_or_else(Instant::now));
+        log::info!(
+            event:% = LogEvent::CatalogOutdated,
+            catalog = known, newer = state.version, peer = vm,
+            newer_for_ms = state.in_force.as_millis() as u64;
+            "another router goes by newer declarations"
+        );
+    }
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -8,8 +8,8 @@
 };
 
 use super::{
-    CallRequest, GatewayFront, LatencyBook, LeavePlan, VersionChoice,
-    moves::ServiceMoves,
+    CallRequest, DeclarationWatch, GatewayFront, LatencyBook, LeavePlan,
+    VersionChoice, moves::ServiceMoves,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -19,8 +19,8 @@
     error::{CallError, ErrorKind},
     membership::{MemberTable, OutageWatch, UpstreamRoster, VmDirectory},
     ports::{
-        CatalogPort, ForwardPort, KeyedPort, KnownState, MovePort, PeerPort,
-        UpstreamListPort, VmListPort,
+        CatalogPort, DeclaredCatalog, ForwardPort, KeyedPort, KnownState,
+        MovePort, PeerPort, UpstreamListPort, VmListPort,
     },
     process::ProcessCore,
     routing::{
@@ -45,13 +45,13 @@
 /// Least requests that a router may have in progress at one upstream.
 const LEAST_SHARE: u32 = 2;
 
+/// `Retry-After` of a router whose declarations are outdated; the others can
+/// take the request.
+const OUTDATED_RETRY: Duration = Duration::from_millis(100);
+
 /// `Retry-After` of a router that leaves; the others can take the request.
 const LEAVING_RETRY: Duration = Duration::from_millis(10);
 
-/// Declarations that were confirmed within this time are those in force: a
-/// change has to be within 2 s. Reads of them wait for 0.5 s each.
-const FRESH_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time for which a router that lacks tokens is not named to callers.
 const STARVED_TIME: Duration = Duration::from_secs(2);
 
@@ -134,8 +134,8 @@
     /// Until when callers are better served by other routers.
     pub(super) starved_until: Cell<Option<Instant>>,
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
-    /// Since when changes of the operators' declarations may be unknown here.
-    pub(super) catalog_confirmed_at: Cell<Option<Instant>>,
+    /// How far the operators' declarations here can be relied on.
+    pub(super) declared: RefCell<DeclarationWatch>,
     pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
     /// When the registries were out of reach.
@@ -161,15 +161,13 @@
     /// How long ago the declarations were confirmed; zero before they are
     /// known.
     pub(super) fn catalog_age(&self) -> Duration {
-        let confirmed_at = self.catalog_confirmed_at.get();
-        confirmed_at.map_or(Duration::ZERO, |at| at.elapsed())
+        let age = self.declared.borrow().age(Instant::now());
+        age.unwrap_or_default()
     }
 
-    /// Notes that the declarations here are those of `asked_at`, when the
-    /// question was asked. Its answer may have been long on its way.
-    pub(super) fn confirm_catalog(&self, asked_at: Instant) {
-        let confirmed_at = self.catalog_confirmed_at.get();
-        self.catalog_confirmed_at.set(confirmed_at.max(Some(asked_at)));
+    /// Notes that the declarations here were those in force at a moment.
+    pub(super) fn confirm_catalog(&self, at: Instant) {
+        self.declared.borrow_mut().confirm(at);
         let age = self.catalog_age().as_millis() as u64;
         let confirmed_ms = TimerService::now_ms().saturating_sub(age);
         self.metrics.catalog_confirmed_at.set((confirmed_ms / 1_000) as i64);
@@ -188,18 +186,33 @@
             ErrorKind::BudgetExhausted => ErrorKind::BudgetUnavailable,
             _ => return error,
         };
-        let age = self.catalog_age();
-        if age < FRESH_TIME {
+        if self.declared.borrow().is_fresh(Instant::now()) {
             return error;
         }
         let message = format!(
             "{}; the declarations here are {} ms old",
             error.message,
-            age.as_millis()
+            self.catalog_age().as_millis()
         );
         CallError::new(kind, message)
     }
 
+    /// Refuses all requests while other routers go by newer declarations.
+    pub(super) fn check_outdated(&self) -> Result<(), CallError> {
+        let now = Instant::now();
+        let Some(newer) = self.declared.borrow().outdated(now) else {
+            return Ok(());
+        };
+        let message = format!(
+            "version {} of the declarations is in force elsewhere for {} ms \
+             and not known here",
+            newer.version,
+            (now - newer.since).as_millis()
+        );
+        let error = CallError::new(ErrorKind::NotReady, message);
+        Err(error.with_retry_wait(OUTDATED_RETRY))
+    }
+
     /// The schedule of leaving.
     pub(super) fn leave_plan(&self) -> LeavePlan {
         let settings = &self.settings;
@@ -229,6 +242,7 @@
         self.catalog.borrow().is_some()
             && self.roster.borrow().is_loaded()
             && !self.is_leaving()
+            && self.check_outdated().is_ok()
     }
 
     /// Notes that a request was refused for want of tokens.
@@ -249,12 +263,14 @@
 
     /// Takes a catalog into use if it is newer than the one in force.
     ///
-    /// It was asked for at `asked_at`.
+    /// `source` was asked for it at `asked_at`.
     pub(super) fn take_catalog(
         &self,
-        catalog: RouteCatalog,
+        declared: DeclaredCatalog,
         asked_at: Instant,
+        source: &str,
     ) {
+        let DeclaredCatalog { catalog, text } = declared;
         let version = catalog.version();
         let known = self.catalog.borrow().as_ref().map(|c| c.version());
         if known.is_some_and(|known| known >= version) {
@@ -264,13 +280,17 @@
         log::info!(
             event:% = LogEvent::CatalogApplied,
             catalog = version, routes = catalog.route_count(),
+            source,
             read_ms = asked_at.elapsed().as_millis() as u64;
             "catalog in force"
         );
         self.metrics.catalog_version.set(version as i64);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        let now = Instant::now();
+        self.declared.borrow_mut().hold(version, text, now);
         let known = KnownState { control_next: 0, list_version: 0 };
         self.members.set_known(known);
+        self.refresh_upstreams();
     }
 
     /// How long ago the registered upstreams were read.
--- /dev/null
+++ b/src/gateway/declared.rs
@@ -0,0 +1,158 @@
+//! What a gateway knows of the operators' declarations.
+//!
+//! A gateway reads them from the platform's store. Its way there may be
+//! slow or cut while that of others is not, and the declarations then
+//! change without its knowledge. [`DeclarationWatch`] keeps since when that
+//! may be so, and whether another router has newer ones. It does no I/O.
+//!
+//! * Declarations that were confirmed lately are in force: what they do not
+//!   know is refused for good.
+//! * Older ones are doubted, and other routers are asked. What they know is
+//!   still served: if nobody can confirm them, nobody can change them
+//!   either, or this router alone is cut off and its callers have no other.
+//! * Declarations are outdated once another router has gone by newer ones
+//!   for a while. Nothing is served by them any more.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::ports::DeclaredState;
+
+/// Declarations that were confirmed within this time are those in force: a
+/// change has to be within 2 s. Reads of them wait for 0.5 s each.
+const FRESH_TIME: Duration = Duration::from_millis(1_500);
+
+/// Declarations that were not confirmed for this time are doubted. Two
+/// reads in a row should have come by then.
+const DOUBT_TIME: Duration = Duration::from_millis(1_100);
+
+/// Newer declarations that have been in force elsewhere for this time bind
+/// a router that does not know them. The rest of the 2 s is for the time
+/// after which the other router had them.
+const OUTDATED_TIME: Duration = Duration::from_millis(1_000);
+
+/// The declarations that a router goes by.
+#[derive(Clone, Debug)]
+struct HeldDeclaration {
+    version: u64,
+    text: Rc<str>,
+    since: Instant,
+}
+
+/// Declarations that only others know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewerDeclaration {
+    /// The newest version that was heard of.
+    pub version: u64,
+    /// Since when something newer is in force at another router.
+    pub since: Instant,
+}
+
+/// How far the declarations of a router can be relied on.
+///
+/// # Example
+///
+/// ```
+/// use std::time::{Duration, Instant};
+///
+/// use magnoliahaven::gateway::DeclarationWatch;
+///
+/// let start = Instant::now();
+/// let mut watch = DeclarationWatch::new();
+/// watch.hold(3, "{}".into(), start);
+/// watch.confirm(start);
+/// assert!(watch.is_fresh(start + Duration::from_secs(1)));
+/// watch.note_newer(4, start + Duration::from_secs(1));
+/// let later = start + Duration::from_secs(3);
+/// assert_eq!(watch.outdated(later).unwrap().version, 4);
+/// watch.hold(4, "{}".into(), later);
+/// assert!(watch.outdated(later).is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct DeclarationWatch {
+    held: Option<HeldDeclaration>,
+    confirmed_at: Option<Instant>,
+    newer: Option<NewerDeclaration>,
+}
+
+impl DeclarationWatch {
+    /// Creates the watch of a router that knows no declarations.
+    pub fn new() -> DeclarationWatch {
+        DeclarationWatch::default()
+    }
+
+    /// The version that the router goes by.
+    pub fn version(&self) -> Option<u64> {
+        self.held.as_ref().map(|held| held.version)
+    }
+
+    /// Takes declarations into force.
+    pub fn hold(&mut self, version: u64, text: Rc<str>, now: Instant) {
+        self.held = Some(HeldDeclaration { version, text, since: now });
+        self.newer = self.newer.filter(|newer| newer.version > version);
+    }
+
+    /// Notes that the declarations here were the newest ones at a moment:
+    /// when the question was asked, not when its answer came.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.newer = self.newer.filter(|newer| newer.since > at);
+    }
+
+    /// Notes that another router goes by a newer version since a moment.
+    pub fn note_newer(&mut self, version: u64, since: Instant) {
+        if self.version().is_some_and(|held| held >= version) {
+            return;
+        }
+        let newer = NewerDeclaration { version, since };
+        // What is missing here is missing since the first of them.
+        let known = self.newer.unwrap_or(newer);
+        self.newer = Some(NewerDeclaration {
+            version: known.version.max(version),
+            since: known.since.min(since),
+        });
+    }
+
+    /// How long ago the declarations were confirmed; `None` if never.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let at = self.confirmed_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Whether the declarations are those in force.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < FRESH_TIME)
+    }
+
+    /// Whether other routers should be asked.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        let is_recent = self.age(now).is_some_and(|age| age < DOUBT_TIME);
+        self.held.is_none() || self.newer.is_some() || !is_recent
+    }
+
+    /// The newer declarations that forbid to go by those here.
+    pub fn outdated(&self, now: Instant) -> Option<NewerDeclaration> {
+        let newer = self.newer?;
+        let known_for = now.saturating_duration_since(newer.since);
+        (known_for >= OUTDATED_TIME).then_some(newer)
+    }
+
+    /// What another router is told, with the text if that is newer than
+    /// `text_after`.
+    pub fn state(
+        &self,
+        now: Instant,
+        text_after: Option<u64>,
+    ) -> Option<DeclaredState> {
+        let held = self.held.as_ref()?;
+        let wants_text = text_after.is_some_and(|after| held.version > after);
+        Some(DeclaredState {
+            version: held.version,
+            age: self.age(now)?,
+            in_force: now.saturating_duration_since(held.since),
+            text: wants_text.then(|| held.text.to_string()),
+        })
+    }
+}
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -93,7 +93,8 @@
         if *vm != self.settings.vm {
             return self.members.health(vm);
         }
-        let unusable = self.is_leaving() || self.is_starved();
+        let is_outdated = self.check_outdated().is_err();
+        let unusable = self.is_leaving() || self.is_starved() || is_outdated;
         EntryHealth { unusable, full: false }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -38,14 +38,13 @@
             Ok(news) => {
                 dependency.note_answer();
                 core.outage.borrow_mut().note_answer(Instant::now());
-                core.confirm_catalog(news.asked_at);
                 for order in news.orders {
                     core.take_order(order);
                 }
-                if let Some(catalog) = news.catalog {
-                    core.take_catalog(catalog, news.asked_at);
-                    core.refresh_upstreams();
+                if let Some(declared) = news.catalog {
+                    core.take_catalog(declared, news.asked_at, "store");
                 }
+                core.confirm_catalog(news.asked_at);
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
@@ -150,7 +149,7 @@
 
 impl GatewayCore {
     /// Another gateway that is believed to answer, drawn at random.
-    fn any_peer(&self) -> Option<(String, SocketAddr)> {
+    pub(super) fn any_peer(&self) -> Option<(String, SocketAddr)> {
         let vms = self.directory.vms();
         let peers = vms.iter().filter_map(|(vm, entry)| {
             let is_usable = *vm != self.id.vm && self.members.is_usable(vm);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 //! * `patience` tells when an upstream takes longer than it should.
 //! * `callers` and `entry` answer what the listeners receive.
 //! * `follow` keeps catalog and upstreams up to date.
+//! * [`DeclarationWatch`] tells how far the declarations can be relied on;
+//!   `confirm` asks other routers for those that cannot be read.
 //! * [`LeavePlan`] tells what a gateway that leaves still takes.
 //! * [`ServiceMove`] moves a service to another version.
 //! * `peers` answers other routers.
@@ -21,7 +23,9 @@
 
 mod attempt;
 mod callers;
+mod confirm;
 mod core;
+mod declared;
 mod dispatch;
 mod entry;
 mod follow;
@@ -35,6 +39,7 @@
 
 pub use self::{
     core::{GatewayCore, GatewayPorts},
+    declared::{DeclarationWatch, NewerDeclaration},
     entry::EntryQuery,
     leave::LeavePlan,
     moves::{MoveDuty, ServiceMove, VersionChoice},
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -33,6 +33,11 @@
                     let departed = self.roster.borrow().departures(now);
                     PeerAnswer::Departed(departed)
                 }
+                PeerCall::Declared { text_after } => {
+                    let now = Instant::now();
+                    let state = self.declared.borrow().state(now, text_after);
+                    PeerAnswer::Declared(state)
+                }
                 // Gateways share neither notes on bills nor control records.
                 PeerCall::Relay(_)
                 | PeerCall::CatchUp(_)
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    GatewayCore, GatewayPorts, LatencyBook,
+    DeclarationWatch, GatewayCore, GatewayPorts, LatencyBook, confirm,
     entry::{self, ListenerRole},
     follow, moves,
 };
@@ -65,6 +65,7 @@
         self.serve_role(addresses.entry, ListenerRole::Entry)?;
         self.serve_role(addresses.readiness, ListenerRole::Readiness)?;
         monoio::spawn(follow::run_catalog(core.clone()));
+        monoio::spawn(confirm::run_confirmation(core.clone()));
         monoio::spawn(follow::run_upstreams(core.clone()));
         monoio::spawn(follow::run_vm_list(core.clone()));
         monoio::spawn(moves::run_moves(core.clone()));
@@ -152,7 +153,7 @@
         in_progress: Cell::new(0),
         starved_until: Cell::new(None),
         catalog: RefCell::new(None),
-        catalog_confirmed_at: Cell::new(None),
+        declared: RefCell::new(DeclarationWatch::new()),
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageWatch::new()),
--- a/src/ports/declared.rs
+++ b/src/ports/declared.rs
@@ -1,17 +1,26 @@
 //! What operators have declared, and which upstreams have registered.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use super::{KeyedFault, MoveOrder, PortFuture};
 use crate::catalog::RouteCatalog;
 
+/// A catalog with the text that declares it.
+#[derive(Clone, Debug)]
+pub struct DeclaredCatalog {
+    /// What the text says.
+    pub catalog: RouteCatalog,
+    /// The text, in the form of the port.
+    pub text: Rc<str>,
+}
+
 /// What operators have declared since the last call.
 #[derive(Clone, Debug)]
 pub struct DeclaredNews {
     /// When the question was asked. What was declared later is not in it.
     pub asked_at: Instant,
     /// A catalog, if a new one was declared.
-    pub catalog: Option<RouteCatalog>,
+    pub catalog: Option<DeclaredCatalog>,
     /// Orders to move services to other versions.
     pub orders: Vec<MoveOrder>,
 }
@@ -26,6 +35,10 @@
     ///
     /// The last known catalog stays in force.
     fn next(&self) -> PortFuture<'_, Result<DeclaredNews, KeyedFault>>;
+
+    /// Understands a text that another router has read; `None` if it is not
+    /// valid.
+    fn decode(&self, text: &str) -> Option<RouteCatalog>;
 }
 
 /// An upstream as it describes itself.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -28,8 +28,8 @@
 
 pub use self::{
     declared::{
-        CatalogPort, DeclaredNews, UpstreamEntry, UpstreamListPort,
-        UpstreamNews,
+        CatalogPort, DeclaredCatalog, DeclaredNews, UpstreamEntry,
+        UpstreamListPort, UpstreamNews,
     },
     forward::{
         ForwardCall, ForwardLink, ForwardPort, ForwardReply, ForwardVerdict,
@@ -38,10 +38,10 @@
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
     moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
-        ClaimReply, ClaimRequest, EvidenceReport, KnownState, LendReply,
-        LendRequest, MemberNews, MemberStatus, NewerState, PeerAnswer,
-        PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage, RelayBatch,
-        RelayedBill, UpstreamDeparture,
+        ClaimReply, ClaimRequest, DeclaredState, EvidenceReport, KnownState,
+        LendReply, LendRequest, MemberNews, MemberStatus, NewerState,
+        PeerAnswer, PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage,
+        RelayBatch, RelayedBill, UpstreamDeparture,
     },
     upstream::{
         UpstreamCall, UpstreamFault, UpstreamLink, UpstreamParts,
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -1,6 +1,6 @@
 //! The other routers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use snafu::Snafu;
 
@@ -136,6 +136,19 @@
     pub tripped: bool,
 }
 
+/// Declarations that are in force at a router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeclaredState {
+    /// Their version.
+    pub version: u64,
+    /// How long ago they were confirmed.
+    pub age: Duration,
+    /// How long they have been in force there.
+    pub in_force: Duration,
+    /// Their text, if it was wanted.
+    pub text: Option<String>,
+}
+
 /// An upstream that gets nothing new any more.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamDeparture {
@@ -190,6 +203,11 @@
     Evidence(EvidenceReport),
     /// Asks which upstreams have left lately.
     Departures,
+    /// Asks which declarations are in force.
+    Declared {
+        /// The text is wanted if its version is newer than this one.
+        text_after: Option<u64>,
+    },
     /// Claims an idempotency key.
     Claim(ClaimRequest),
 }
@@ -209,6 +227,8 @@
     Newer(NewerState),
     /// The upstreams that have left lately.
     Departed(Vec<UpstreamDeparture>),
+    /// The declarations in force, if any are known.
+    Declared(Option<DeclaredState>),
     /// Who serves the key.
     Claimed(ClaimReply),
 }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -28,6 +28,7 @@
                     PeerAnswer::Done
                 }
                 // Routers learn of upstreams from the list of VMs.
+                PeerCall::Declared { .. } => PeerAnswer::Declared(None),
                 PeerCall::Departures => PeerAnswer::Departed(Vec::new()),
                 PeerCall::Claim(request) => {
                     let claim = self.claims.borrow_mut().claim(&request);
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -106,7 +106,15 @@
     /// An address belongs to another upstream now.
     UpstreamMisplaced = "upstream_misplaced" ["upstream"];
     /// A version of the declarations is in force.
-    CatalogApplied = "catalog_applied" ["catalog", "routes", "read_ms"];
+    CatalogApplied = "catalog_applied" [
+        "catalog", "routes", "source", "read_ms",
+    ];
+    /// Another router has confirmed the declarations that could not be read.
+    CatalogConfirmed = "catalog_confirmed" ["catalog", "peer", "age_ms"];
+    /// Another router goes by newer declarations.
+    CatalogOutdated = "catalog_outdated" [
+        "catalog", "newer", "newer_for_ms", "peer",
+    ];
     /// A revision of the configuration is in force.
     RevisionApplied = "revision_applied" ["revision", "who"];
     /// The list of entry VMs has changed.
--- /dev/null
+++ b/tests/declared.rs
@@ -0,0 +1,116 @@
+//! How far a router relies on declarations that it cannot confirm.
+
+use std::time::{Duration, Instant};
+
+use magnoliahaven::gateway::DeclarationWatch;
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// A watch that holds version 3 since `start`, confirmed then.
+fn watch(start: Instant) -> DeclarationWatch {
+    let mut watch = DeclarationWatch::new();
+    watch.hold(3, "three".into(), start);
+    watch.confirm(start);
+    watch
+}
+
+#[test]
+fn an_answer_that_took_long_confirms_the_time_of_its_question() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    let arrived = start + ms(5_000);
+    watch.confirm(start + ms(100));
+    assert!(!watch.is_fresh(arrived));
+    assert_eq!(watch.age(arrived), Some(ms(4_900)));
+}
+
+#[test]
+fn an_answer_that_was_outrun_takes_no_confirmation_back() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.confirm(start + ms(2_000));
+    watch.confirm(start + ms(500));
+    assert_eq!(watch.age(start + ms(2_000)), Some(ms(0)));
+}
+
+/// Reads of a sound gateway come each half second. It asks nobody.
+#[test]
+fn regular_reads_leave_no_doubt() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    for read in 1..40 {
+        let arrived = start + ms(510) * read;
+        assert!(!watch.is_doubted(arrived));
+        assert!(watch.is_fresh(arrived));
+        watch.confirm(arrived - ms(510));
+    }
+}
+
+#[test]
+fn what_nobody_can_confirm_stays_in_use() {
+    let start = Instant::now();
+    let watch = watch(start);
+    let later = start + Duration::from_secs(3_600);
+    assert!(watch.is_doubted(later));
+    assert!(!watch.is_fresh(later));
+    assert_eq!(watch.outdated(later), None);
+}
+
+/// A key is dropped at 1 s, and others know it 0.2 s later. Two seconds
+/// after the change nobody may serve it.
+#[test]
+fn outdated_declarations_are_left_two_seconds_after_the_change() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.note_newer(4, start + ms(1_200));
+    assert_eq!(watch.outdated(start + ms(1_300)), None);
+    assert_eq!(watch.outdated(start + ms(3_000)).unwrap().version, 4);
+}
+
+/// A storm of changes: each peer that is asked has gone by its version for
+/// some milliseconds only. What is missing is missing since the first.
+#[test]
+fn a_storm_of_changes_does_not_put_the_end_off() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    for change in 1..=20 {
+        let since = start + ms(100) * change;
+        watch.note_newer(3 + u64::from(change), since);
+    }
+    let newer = watch.outdated(start + ms(1_150)).unwrap();
+    assert_eq!(newer.version, 23);
+    assert_eq!(newer.since, start + ms(100));
+    // A version in between does not make up for the rest.
+    watch.hold(10, "ten".into(), start + ms(1_200));
+    assert!(watch.outdated(start + ms(1_200)).is_some());
+    watch.hold(23, "all".into(), start + ms(1_300));
+    assert!(watch.outdated(start + ms(9_000)).is_none());
+}
+
+/// A read of the store that was asked after a change includes it.
+#[test]
+fn a_later_read_settles_what_others_said() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.note_newer(4, start + ms(500));
+    watch.confirm(start + ms(400));
+    assert!(watch.outdated(start + ms(1_600)).is_some());
+    watch.confirm(start + ms(600));
+    assert!(watch.outdated(start + ms(1_600)).is_none());
+}
+
+#[test]
+fn others_are_told_the_text_only_if_they_lack_it() {
+    let start = Instant::now();
+    let watch = watch(start);
+    let now = start + ms(700);
+    let state = watch.state(now, None).unwrap();
+    assert_eq!((state.version, state.age), (3, ms(700)));
+    assert_eq!((state.in_force, state.text), (ms(700), None));
+    assert_eq!(watch.state(now, Some(3)).unwrap().text, None);
+    let text = watch.state(now, Some(2)).unwrap().text;
+    assert_eq!(text.as_deref(), Some("three"));
+    assert_eq!(DeclarationWatch::new().state(now, Some(0)), None);
+}
