--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -76,6 +76,23 @@
 }
 
 impl RequestReader {
+    /// Sets the bounds of the requests that follow.
+    pub fn set_limits(&mut self, limits: MessageLimits) {
+        self.limits = limits;
+    }
+
+    /// Waits for the first byte of a request for up to `time`.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if none came, `Closed` if the caller has gone.
+    pub async fn wait_request(
+        &mut self,
+        time: Duration,
+    ) -> Result<(), HttpFault> {
+        self.reader.wait_readable(time).await
+    }
+
     /// Reads the next request, waiting for its first byte for `idle`.
     ///
     /// # Errors
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -1,6 +1,9 @@
 //! Connections of callers.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use {
     monoio::net::{TcpListener, TcpStream},
@@ -10,9 +13,10 @@
 use super::{ProcessCore, ProcessView};
 use crate::{
     adapters::http::{
-        HttpConnection, HttpFault, HttpResponder, MessageLimits, accept_until,
-        message_error,
+        HttpConnection, HttpFault, HttpRequest, HttpResponder, MessageLimits,
+        RequestReader, accept_until, message_error,
     },
+    catalog::CallerLimits,
     error::CallError,
     telemetry::LogEvent,
 };
@@ -42,18 +46,11 @@
 
 /// Serves the requests of one connection, one after another.
 async fn serve_connection<C: ProcessCore>(core: &Rc<C>, stream: TcpStream) {
-    let limits = core.caller_limits();
-    let message = MessageLimits {
-        head_bytes: limits.head_bytes,
-        body_bytes: limits.body_bytes,
-        message_time: limits.request_time,
-        stall_time: None,
-    };
     let connection = HttpConnection::new(stream);
-    let (mut reader, mut responder) = connection.into_server(message);
+    let limits = message_limits(&core.caller_limits());
+    let (mut reader, mut responder) = connection.into_server(limits);
     loop {
-        let request = reader.next_request(limits.idle_time).await;
-        let request = match request {
+        let request = match next_request(core.as_ref(), &mut reader).await {
             Ok(request) => request,
             Err(fault) => {
                 refuse_message(core, &mut responder, &fault).await;
@@ -75,6 +72,38 @@
     }
 }
 
+fn message_limits(limits: &CallerLimits) -> MessageLimits {
+    MessageLimits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        message_time: limits.request_time,
+        stall_time: None,
+    }
+}
+
+/// Reads the next request within the limits that are in force by then.
+async fn next_request<C: ProcessCore>(
+    core: &C,
+    reader: &mut RequestReader,
+) -> Result<HttpRequest, HttpFault> {
+    let idle_since = Instant::now();
+    loop {
+        let idle_time = core.caller_limits().idle_time;
+        let left = idle_time.saturating_sub(idle_since.elapsed());
+        if left.is_zero() {
+            return Err(HttpFault::Closed);
+        }
+        match reader.wait_request(left).await {
+            // A longer time may have come into force.
+            Err(HttpFault::TimedOut) => {}
+            Err(fault) => return Err(fault),
+            Ok(()) => break,
+        }
+    }
+    reader.set_limits(message_limits(&core.caller_limits()));
+    reader.next_request(Duration::ZERO).await
+}
+
 /// Answers a request that is not served; `false` if the caller is gone.
 pub(crate) async fn refuse<C: ProcessCore>(
     core: &Rc<C>,
