--- a/src/runtime/overlap.rs
+++ b/src/runtime/overlap.rs
@@ -15,6 +15,8 @@
 pub struct OverlapOptions {
     /// A call that takes longer is overdue, and another one begins.
     pub overdue: Duration,
+    /// Time until a further call begins while others are overdue.
+    pub again: Duration,
     /// Most calls under way at once.
     pub most: usize,
 }
@@ -37,6 +39,8 @@
     under_way: Cell<usize>,
     /// When the newest call began, while it has no answer.
     pending: Cell<Option<Instant>>,
+    /// Whether the newest call began beside others.
+    is_extra: Cell<bool>,
 }
 
 /// Calls of the same kind, each in a task of its own.
@@ -52,8 +56,11 @@
 ///
 /// use magnoliahaven::runtime::{OverlapOptions, OverlappedCalls, block_on};
 ///
-/// let overdue = Duration::from_millis(50);
-/// let calls = OverlappedCalls::new(OverlapOptions { overdue, most: 2 });
+/// let calls = OverlappedCalls::new(OverlapOptions {
+///     overdue: Duration::from_millis(50),
+///     again: Duration::from_millis(20),
+///     most: 2,
+/// });
 /// let answer = block_on(async { calls.next(|| async { 7 }).await });
 /// assert_eq!(answer.unwrap().value, 7);
 /// ```
@@ -70,10 +77,16 @@
             arrived: Notify::new(),
             under_way: Cell::new(0),
             pending: Cell::new(None),
+            is_extra: Cell::new(false),
         };
         OverlappedCalls { options, state: Rc::new(state) }
     }
 
+    /// How many calls are under way.
+    pub fn under_way(&self) -> usize {
+        self.state.under_way.get()
+    }
+
     /// An answer that has arrived and was not taken yet.
     pub fn take_arrived(&self) -> Option<TimedAnswer<T>> {
         self.state.answers.borrow_mut().pop_front()
@@ -87,15 +100,37 @@
         F: Future<Output = T> + 'static,
     {
         loop {
-            if let Some(answer) = self.take_arrived() {
+            let answer = self.next_within(self.options.overdue, &make).await;
+            if let Some(answer) = answer {
                 return answer;
             }
+        }
+    }
+
+    /// The same for up to `time`. The calls go on.
+    pub async fn next_within<F>(
+        &self,
+        time: Duration,
+        make: impl Fn() -> F,
+    ) -> Option<TimedAnswer<T>>
+    where
+        F: Future<Output = T> + 'static,
+    {
+        let until = Instant::now() + time;
+        loop {
+            if let Some(answer) = self.take_arrived() {
+                return Some(answer);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
             if self.is_due() {
                 self.begin(make());
             }
             monoio::select! {
                 () = self.state.arrived.notified() => {}
-                () = super::sleep(self.time_left()) => {}
+                () = super::sleep(self.time_left().min(left)) => {}
             }
         }
     }
@@ -107,7 +142,8 @@
 
     /// Time until the newest call is overdue; zero if there is none.
     fn time_left(&self) -> Duration {
-        let overdue = self.options.overdue;
+        let OverlapOptions { overdue, again, .. } = self.options;
+        let overdue = if self.state.is_extra.get() { again } else { overdue };
         let pending = self.state.pending.get();
         let left = pending.map(|at| overdue.saturating_sub(at.elapsed()));
         let is_full = self.state.under_way.get() >= self.options.most;
@@ -121,6 +157,7 @@
     fn begin(&self, call: impl Future<Output = T> + 'static) {
         let state = self.state.clone();
         let asked_at = Instant::now();
+        state.is_extra.set(state.under_way.get() > 0);
         state.under_way.set(state.under_way.get() + 1);
         state.pending.set(Some(asked_at));
         monoio::spawn(async move {
--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -12,11 +12,18 @@
 
 const OVERDUE: Duration = Duration::from_millis(60);
 
+/// Time between calls while one is overdue.
+const AGAIN: Duration = Duration::from_millis(30);
+
 /// Time by which a timer may be late.
 const SLACK: Duration = Duration::from_millis(50);
 
 fn calls<T: 'static>(most: usize) -> OverlappedCalls<T> {
-    OverlappedCalls::new(OverlapOptions { overdue: OVERDUE, most })
+    OverlappedCalls::new(OverlapOptions {
+        overdue: OVERDUE,
+        again: AGAIN,
+        most,
+    })
 }
 
 #[test]
@@ -46,14 +53,15 @@
 #[test]
 fn late_answers_come_as_often_as_calls_begin() {
     block_on(async {
-        let calls = calls(8);
+        let calls = calls(12);
         let mut last = Instant::now();
         for round in 0..12 {
             let answer = calls.next(|| sleep(OVERDUE * 4)).await;
             let age = answer.asked_at.elapsed();
             assert!(age < OVERDUE * 4 + SLACK, "{age:?}");
             let pause = last.elapsed();
-            assert!(round == 0 || pause < OVERDUE + SLACK, "{pause:?}");
+            let most = if round < 2 { OVERDUE } else { AGAIN };
+            assert!(round == 0 || pause < most + SLACK, "{pause:?}");
             last = Instant::now();
         }
     })
