--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -57,7 +57,7 @@
         responder: &mut HttpResponder,
     ) -> bool {
         let request_id = self.ports.front.request_id(&request);
-        let call = self.check_outdated();
+        let call = self.check_stale();
         let call =
             call.and_then(|()| self.ports.front.decode_call(self, request));
         let call = call.and_then(|call| {
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -9,6 +9,7 @@
 use super::GatewayCore;
 use crate::{
     ports::{DeclaredCatalog, DeclaredState, PeerAnswer, PeerCall},
+    runtime::{OverlapOptions, OverlappedCalls, TimedAnswer},
     telemetry::LogEvent,
 };
 
@@ -16,32 +17,58 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Pause after another gateway could not help.
-const ASK_PAUSE: Duration = Duration::from_millis(750);
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Another gateway is asked beside one that is late: packets may wait on
+/// the own link, and that gateway may be gone.
+const ASK_OVERLAP: OverlapOptions = OverlapOptions {
+    overdue: Duration::from_millis(400),
+    again: Duration::from_millis(400),
+    most: 3,
+};
+
+/// What another gateway said.
+struct PeerReport {
+    vm: String,
+    peer: SocketAddr,
+    state: DeclaredState,
+}
 
 /// Asks other gateways whenever the own reads are late, for as long as the
 /// task lives.
 pub(super) async fn run_confirmation(core: Rc<GatewayCore>) {
+    let asks = OverlappedCalls::new(ASK_OVERLAP);
     loop {
         core.timer.sleep(LOOK_PERIOD).await;
         if !core.declared.borrow().is_doubted(Instant::now()) {
             continue;
         }
-        ask_peer(&core).await;
+        let TimedAnswer { asked_at, value } =
+            asks.next(|| ask_peer(core.clone())).await;
+        if let Some(report) = value {
+            take_report(&core, report, asked_at).await;
+        }
         if core.declared.borrow().is_doubted(Instant::now()) {
             core.timer.sleep(ASK_PAUSE).await;
         }
     }
 }
 
-/// Asks one gateway, and takes its declarations if they are newer.
-async fn ask_peer(core: &Rc<GatewayCore>) {
-    let Some((vm, peer)) = core.any_peer() else {
-        return;
-    };
-    let asked_at = Instant::now();
-    let Some(state) = call_peer(core, peer, None).await else {
-        return;
-    };
+/// Asks one gateway which declarations are in force there.
+async fn ask_peer(core: Rc<GatewayCore>) -> Option<PeerReport> {
+    let (vm, peer) = core.any_peer()?;
+    let state = call_peer(&core, peer, None).await?;
+    Some(PeerReport { vm, peer, state })
+}
+
+/// Takes the word of another gateway, and its declarations if they are
+/// newer.
+async fn take_report(
+    core: &GatewayCore,
+    report: PeerReport,
+    asked_at: Instant,
+) {
+    let PeerReport { vm, peer, state } = report;
     let known = core.declared.borrow().version();
     if known >= Some(state.version) {
         core.take_confirmation(&vm, &state, asked_at);
@@ -91,7 +118,7 @@
         else {
             return;
         };
-        self.confirm_catalog(at);
+        self.vouch_catalog(at);
         log::info!(
             event:% = LogEvent::CatalogConfirmed,
             catalog = state.version, peer = vm,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,7 +9,7 @@
 
 use super::{
     CallRequest, DeclarationWatch, GatewayFront, LatencyBook, LeavePlan,
-    VersionChoice, moves::ServiceMoves,
+    StaleReason, VersionChoice, moves::ServiceMoves,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -45,9 +45,9 @@
 /// Least requests that a router may have in progress at one upstream.
 const LEAST_SHARE: u32 = 2;
 
-/// `Retry-After` of a router whose declarations are outdated; the others can
+/// `Retry-After` of a router whose declarations are stale; the others can
 /// take the request.
-const OUTDATED_RETRY: Duration = Duration::from_millis(100);
+const STALE_RETRY: Duration = Duration::from_millis(100);
 
 /// `Retry-After` of a router that leaves; the others can take the request.
 const LEAVING_RETRY: Duration = Duration::from_millis(10);
@@ -165,9 +165,20 @@
         age.unwrap_or_default()
     }
 
-    /// Notes that the declarations here were those in force at a moment.
-    pub(super) fn confirm_catalog(&self, at: Instant) {
-        self.declared.borrow_mut().confirm(at);
+    /// Notes that the store has answered a question of `asked_at`.
+    pub(super) fn confirm_catalog(&self, asked_at: Instant) {
+        let now = Instant::now();
+        self.declared.borrow_mut().confirm(asked_at, now);
+        self.show_catalog_age();
+    }
+
+    /// Notes that another gateway had the same declarations confirmed.
+    pub(super) fn vouch_catalog(&self, at: Instant) {
+        self.declared.borrow_mut().vouch(at);
+        self.show_catalog_age();
+    }
+
+    fn show_catalog_age(&self) {
         let age = self.catalog_age().as_millis() as u64;
         let confirmed_ms = TimerService::now_ms().saturating_sub(age);
         self.metrics.catalog_confirmed_at.set((confirmed_ms / 1_000) as i64);
@@ -197,20 +208,26 @@
         CallError::new(kind, message)
     }
 
-    /// Refuses all requests while other routers go by newer declarations.
-    pub(super) fn check_outdated(&self) -> Result<(), CallError> {
+    /// Refuses all requests while the declarations here are stale.
+    pub(super) fn check_stale(&self) -> Result<(), CallError> {
         let now = Instant::now();
-        let Some(newer) = self.declared.borrow().outdated(now) else {
+        let Some(reason) = self.declared.borrow().staleness(now) else {
             return Ok(());
         };
-        let message = format!(
-            "version {} of the declarations is in force elsewhere for {} ms \
-             and not known here",
-            newer.version,
-            (now - newer.since).as_millis()
-        );
+        let message = match reason {
+            StaleReason::Replaced(newer) => format!(
+                "version {} of the declarations is in force elsewhere for {} \
+                 ms and not known here",
+                newer.version,
+                (now - newer.since).as_millis()
+            ),
+            StaleReason::Late(age) => format!(
+                "the declarations arrive late and are {} ms old",
+                age.as_millis()
+            ),
+        };
         let error = CallError::new(ErrorKind::NotReady, message);
-        Err(error.with_retry_wait(OUTDATED_RETRY))
+        Err(error.with_retry_wait(STALE_RETRY))
     }
 
     /// The schedule of leaving.
@@ -242,7 +259,7 @@
         self.catalog.borrow().is_some()
             && self.roster.borrow().is_loaded()
             && !self.is_leaving()
-            && self.check_outdated().is_ok()
+            && self.check_stale().is_ok()
     }
 
     /// Notes that a request was refused for want of tokens.
--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -11,7 +11,8 @@
 //!   still served: if nobody can confirm them, nobody can change them
 //!   either, or this router alone is cut off and its callers have no other.
 //! * Declarations are outdated once another router has gone by newer ones
-//!   for a while. Nothing is served by them any more.
+//!   for a while, or if answers come and each is too old when it arrives, as
+//!   on a link where packets wait. Nothing is served by them any more.
 
 use std::{
     rc::Rc,
@@ -33,6 +34,17 @@
 /// after which the other router had them.
 const OUTDATED_TIME: Duration = Duration::from_millis(1_000);
 
+/// Longest time after which a change has to be in force.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+/// Answers come if the last one is not older than this. Without answers the
+/// store is out, or this router is cut off.
+const ANSWER_GAP: Duration = Duration::from_millis(1_500);
+
+/// An answer that is older when it comes was held up on its way. Reads wait
+/// for 0.5 s at the store.
+const LATE_ANSWER: Duration = Duration::from_millis(1_000);
+
 /// The declarations that a router goes by.
 #[derive(Clone, Debug)]
 struct HeldDeclaration {
@@ -50,6 +62,15 @@
     pub since: Instant,
 }
 
+/// Why nothing is served by the declarations of a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StaleReason {
+    /// Newer ones are in force elsewhere.
+    Replaced(NewerDeclaration),
+    /// They were in force that long ago, and may have changed since.
+    Late(Duration),
+}
+
 /// How far the declarations of a router can be relied on.
 ///
 /// # Example
@@ -62,18 +83,19 @@
 /// let start = Instant::now();
 /// let mut watch = DeclarationWatch::new();
 /// watch.hold(3, "{}".into(), start);
-/// watch.confirm(start);
+/// watch.confirm(start, start);
 /// assert!(watch.is_fresh(start + Duration::from_secs(1)));
 /// watch.note_newer(4, start + Duration::from_secs(1));
 /// let later = start + Duration::from_secs(3);
-/// assert_eq!(watch.outdated(later).unwrap().version, 4);
+/// assert!(watch.staleness(later).is_some());
 /// watch.hold(4, "{}".into(), later);
-/// assert!(watch.outdated(later).is_none());
+/// assert!(watch.staleness(later).is_none());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct DeclarationWatch {
     held: Option<HeldDeclaration>,
     confirmed_at: Option<Instant>,
+    answered_at: Option<Instant>,
     newer: Option<NewerDeclaration>,
 }
 
@@ -94,9 +116,15 @@
         self.newer = self.newer.filter(|newer| newer.version > version);
     }
 
-    /// Notes that the declarations here were the newest ones at a moment:
-    /// when the question was asked, not when its answer came.
-    pub fn confirm(&mut self, at: Instant) {
+    /// Notes an answer of the store that came at `now`: the declarations
+    /// here were the newest ones at `at`, when it was asked.
+    pub fn confirm(&mut self, at: Instant, now: Instant) {
+        self.answered_at = self.answered_at.max(Some(now));
+        self.vouch(at);
+    }
+
+    /// Notes that another router had the same declarations confirmed at `at`.
+    pub fn vouch(&mut self, at: Instant) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
         self.newer = self.newer.filter(|newer| newer.since > at);
     }
@@ -132,11 +160,20 @@
         self.held.is_none() || self.newer.is_some() || !is_recent
     }
 
-    /// The newer declarations that forbid to go by those here.
-    pub fn outdated(&self, now: Instant) -> Option<NewerDeclaration> {
-        let newer = self.newer?;
-        let known_for = now.saturating_duration_since(newer.since);
-        (known_for >= OUTDATED_TIME).then_some(newer)
+    /// Why nothing may be served by the declarations here; `None` if it may.
+    pub fn staleness(&self, now: Instant) -> Option<StaleReason> {
+        if let Some(newer) = self.newer {
+            let known_for = now.saturating_duration_since(newer.since);
+            if known_for >= OUTDATED_TIME {
+                return Some(StaleReason::Replaced(newer));
+            }
+        }
+        let age = self.age(now)?;
+        let gap = now.saturating_duration_since(self.answered_at?);
+        // How old the last answer was when it came.
+        let was_late = age.saturating_sub(gap) >= LATE_ANSWER;
+        let is_stale = was_late && gap < ANSWER_GAP && age >= APPLY_TIME;
+        is_stale.then_some(StaleReason::Late(age))
     }
 
     /// What another router is told, with the text if that is newer than
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -93,8 +93,8 @@
         if *vm != self.settings.vm {
             return self.members.health(vm);
         }
-        let is_outdated = self.check_outdated().is_err();
-        let unusable = self.is_leaving() || self.is_starved() || is_outdated;
+        let is_stale = self.check_stale().is_err();
+        let unusable = self.is_leaving() || self.is_starved() || is_stale;
         EntryHealth { unusable, full: false }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,7 @@
 
 pub use self::{
     core::{GatewayCore, GatewayPorts},
-    declared::{DeclarationWatch, NewerDeclaration},
+    declared::{DeclarationWatch, NewerDeclaration, StaleReason},
     entry::EntryQuery,
     leave::LeavePlan,
     moves::{MoveDuty, ServiceMove, VersionChoice},
--- a/tests/declared.rs
+++ b/tests/declared.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use magnoliahaven::gateway::DeclarationWatch;
+use magnoliahaven::gateway::{
+    DeclarationWatch, NewerDeclaration, StaleReason,
+};
 
 const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -12,16 +14,24 @@
 fn watch(start: Instant) -> DeclarationWatch {
     let mut watch = DeclarationWatch::new();
     watch.hold(3, "three".into(), start);
-    watch.confirm(start);
+    watch.confirm(start, start);
     watch
 }
 
+/// The newer declarations that a router must not go without.
+fn missed(watch: &DeclarationWatch, now: Instant) -> Option<NewerDeclaration> {
+    match watch.staleness(now)? {
+        StaleReason::Replaced(newer) => Some(newer),
+        StaleReason::Late(_) => None,
+    }
+}
+
 #[test]
 fn an_answer_that_took_long_confirms_the_time_of_its_question() {
     let start = Instant::now();
     let mut watch = watch(start);
     let arrived = start + ms(5_000);
-    watch.confirm(start + ms(100));
+    watch.confirm(start + ms(100), arrived);
     assert!(!watch.is_fresh(arrived));
     assert_eq!(watch.age(arrived), Some(ms(4_900)));
 }
@@ -30,8 +40,8 @@
 fn an_answer_that_was_outrun_takes_no_confirmation_back() {
     let start = Instant::now();
     let mut watch = watch(start);
-    watch.confirm(start + ms(2_000));
-    watch.confirm(start + ms(500));
+    watch.confirm(start + ms(2_000), start + ms(2_000));
+    watch.confirm(start + ms(500), start + ms(2_100));
     assert_eq!(watch.age(start + ms(2_000)), Some(ms(0)));
 }
 
@@ -44,7 +54,8 @@
         let arrived = start + ms(510) * read;
         assert!(!watch.is_doubted(arrived));
         assert!(watch.is_fresh(arrived));
-        watch.confirm(arrived - ms(510));
+        watch.confirm(arrived - ms(510), arrived);
+        assert_eq!(watch.staleness(arrived), None);
     }
 }
 
@@ -55,7 +66,7 @@
     let later = start + Duration::from_secs(3_600);
     assert!(watch.is_doubted(later));
     assert!(!watch.is_fresh(later));
-    assert_eq!(watch.outdated(later), None);
+    assert_eq!(watch.staleness(later), None);
 }
 
 /// A key is dropped at 1 s, and others know it 0.2 s later. Two seconds
@@ -65,8 +76,8 @@
     let start = Instant::now();
     let mut watch = watch(start);
     watch.note_newer(4, start + ms(1_200));
-    assert_eq!(watch.outdated(start + ms(1_300)), None);
-    assert_eq!(watch.outdated(start + ms(3_000)).unwrap().version, 4);
+    assert_eq!(watch.staleness(start + ms(1_300)), None);
+    assert_eq!(missed(&watch, start + ms(3_000)).unwrap().version, 4);
 }
 
 /// A storm of changes: each peer that is asked has gone by its version for
@@ -79,14 +90,14 @@
         let since = start + ms(100) * change;
         watch.note_newer(3 + u64::from(change), since);
     }
-    let newer = watch.outdated(start + ms(1_150)).unwrap();
+    let newer = missed(&watch, start + ms(1_150)).unwrap();
     assert_eq!(newer.version, 23);
     assert_eq!(newer.since, start + ms(100));
     // A version in between does not make up for the rest.
     watch.hold(10, "ten".into(), start + ms(1_200));
-    assert!(watch.outdated(start + ms(1_200)).is_some());
+    assert!(missed(&watch, start + ms(1_200)).is_some());
     watch.hold(23, "all".into(), start + ms(1_300));
-    assert!(watch.outdated(start + ms(9_000)).is_none());
+    assert!(missed(&watch, start + ms(9_000)).is_none());
 }
 
 /// A read of the store that was asked after a change includes it.
@@ -95,10 +106,10 @@
     let start = Instant::now();
     let mut watch = watch(start);
     watch.note_newer(4, start + ms(500));
-    watch.confirm(start + ms(400));
-    assert!(watch.outdated(start + ms(1_600)).is_some());
-    watch.confirm(start + ms(600));
-    assert!(watch.outdated(start + ms(1_600)).is_none());
+    watch.confirm(start + ms(400), start + ms(1_500));
+    assert!(missed(&watch, start + ms(1_600)).is_some());
+    watch.confirm(start + ms(600), start + ms(1_600));
+    assert!(missed(&watch, start + ms(1_600)).is_none());
 }
 
 #[test]
@@ -114,3 +125,34 @@
     assert_eq!(text.as_deref(), Some("three"));
     assert_eq!(DeclarationWatch::new().state(now, Some(0)), None);
 }
+
+/// On a full link an answer comes every 0.75 s, each 2.4 s after it was asked
+/// for. The store can be asked, so operators can change what is declared.
+#[test]
+fn answers_that_are_too_old_when_they_come_are_not_served_by() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    for answer in 0..8 {
+        let arrived = start + ms(2_400) + ms(750) * answer;
+        watch.confirm(arrived - ms(2_400), arrived);
+        let reason = watch.staleness(arrived + ms(100));
+        assert_eq!(reason, Some(StaleReason::Late(ms(2_500))));
+    }
+    let arrived = start + ms(9_000);
+    watch.confirm(arrived - ms(600), arrived);
+    assert_eq!(watch.staleness(arrived), None);
+}
+
+/// The last answer before an outage was prompt. None comes afterwards.
+#[test]
+fn an_outage_alone_makes_nothing_stale() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.confirm(start + ms(500), start + ms(1_010));
+    for later in 0..100 {
+        let now = start + ms(1_010) + ms(50) * later;
+        // Others have not read it either.
+        watch.vouch(start + ms(700));
+        assert_eq!(watch.staleness(now), None);
+    }
+}
