--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -11,8 +11,8 @@
 //!   still served: if nobody can confirm them, nobody can change them
 //!   either, or this router alone is cut off and its callers have no other.
 //! * Declarations are outdated once another router has gone by newer ones
-//!   for a while, or if answers come and each is too old when it arrives, as
-//!   on a link where packets wait. Nothing is served by them any more.
+//!   for a while, or if the last answer was late, as on a link where packets
+//!   wait, and is too old by now. Nothing is served by them any more.
 
 use std::{
     rc::Rc,
@@ -37,9 +37,9 @@
 /// Longest time after which a change has to be in force.
 const APPLY_TIME: Duration = Duration::from_millis(2_000);
 
-/// Answers come if the last one is not older than this. Without answers the
-/// store is out, or this router is cut off.
-const ANSWER_GAP: Duration = Duration::from_millis(1_500);
+/// Where answers were late and none comes for this time, the store is out or
+/// this router cut off, and not only its link full.
+const ANSWER_GAP: Duration = Duration::from_secs(10);
 
 /// An answer that is older when it comes was held up on its way. Reads wait
 /// for 0.5 s at the store.
--- a/tests/declared.rs
+++ b/tests/declared.rs
@@ -143,6 +143,19 @@
     assert_eq!(watch.staleness(arrived), None);
 }
 
+/// The link gets fuller, and answers do not come in time to be waited for.
+#[test]
+fn late_answers_that_cease_leave_the_declarations_stale() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.confirm(start + ms(500), start + ms(2_100));
+    for later in 0..80 {
+        let now = start + ms(2_500) + ms(100) * later;
+        assert!(watch.staleness(now).is_some());
+    }
+    assert_eq!(watch.staleness(start + ms(12_200)), None);
+}
+
 /// The last answer before an outage was prompt. None comes afterwards.
 #[test]
 fn an_outage_alone_makes_nothing_stale() {
