--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -44,7 +44,7 @@
             continue;
         }
         let TimedAnswer { asked_at, value } =
-            asks.next(|| ask_peer(core.clone())).await;
+            asks.next(|| Some(ask_peer(core.clone()))).await;
         if let Some(report) = value {
             take_report(&core, report, asked_at).await;
         }
--- a/src/runtime/overlap.rs
+++ b/src/runtime/overlap.rs
@@ -61,7 +61,7 @@
 ///     again: Duration::from_millis(20),
 ///     most: 2,
 /// });
-/// let answer = block_on(async { calls.next(|| async { 7 }).await });
+/// let answer = block_on(async { calls.next(|| Some(async { 7 })).await });
 /// assert_eq!(answer.unwrap().value, 7);
 /// ```
 pub struct OverlappedCalls<T> {
@@ -94,8 +94,9 @@
 
     /// Waits for the next answer of any call.
     ///
-    /// Begins a call unless one is under way that is not overdue.
-    pub async fn next<F>(&self, make: impl Fn() -> F) -> TimedAnswer<T>
+    /// Begins a call unless one is under way that is not overdue. `make`
+    /// returns `None` while the answer of a call is on its way.
+    pub async fn next<F>(&self, make: impl Fn() -> Option<F>) -> TimedAnswer<T>
     where
         F: Future<Output = T> + 'static,
     {
@@ -111,7 +112,7 @@
     pub async fn next_within<F>(
         &self,
         time: Duration,
-        make: impl Fn() -> F,
+        make: impl Fn() -> Option<F>,
     ) -> Option<TimedAnswer<T>>
     where
         F: Future<Output = T> + 'static,
@@ -125,13 +126,28 @@
             if left.is_zero() {
                 return None;
             }
-            if self.is_due() {
-                self.begin(make());
-            }
+            let pause = self.begin_due(&make);
             monoio::select! {
                 () = self.state.arrived.notified() => {}
-                () = super::sleep(self.time_left().min(left)) => {}
+                () = super::sleep(pause.min(left)) => {}
+            }
+        }
+    }
+
+    /// Begins a call if one is due, and returns the time to the next look.
+    fn begin_due<F>(&self, make: impl Fn() -> Option<F>) -> Duration
+    where
+        F: Future<Output = T> + 'static,
+    {
+        if !self.is_due() {
+            return self.time_left();
+        }
+        match make() {
+            Some(call) => {
+                self.begin(call);
+                self.time_left()
             }
+            None => self.options.again,
         }
     }
 
--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -34,12 +34,12 @@
         let started = Instant::now();
         let answer = calls.next(|| {
             let number = begun.replace(begun.get() + 1);
-            async move {
+            Some(async move {
                 if number == 0 {
                     std::future::pending::<()>().await;
                 }
                 number
-            }
+            })
         });
         let answer = answer.await;
         assert_eq!(answer.value, 1);
@@ -56,7 +56,7 @@
         let calls = calls(12);
         let mut last = Instant::now();
         for round in 0..12 {
-            let answer = calls.next(|| sleep(OVERDUE * 4)).await;
+            let answer = calls.next(|| Some(sleep(OVERDUE * 4))).await;
             let age = answer.asked_at.elapsed();
             assert!(age < OVERDUE * 4 + SLACK, "{age:?}");
             let pause = last.elapsed();
@@ -78,12 +78,12 @@
             calls
                 .next(|| {
                     let (under_way, most) = (under_way.clone(), most.clone());
-                    async move {
+                    Some(async move {
                         under_way.set(under_way.get() + 1);
                         most.set(most.get().max(under_way.get()));
                         sleep(OVERDUE * 5).await;
                         under_way.set(under_way.get() - 1);
-                    }
+                    })
                 })
                 .await;
         }
@@ -102,7 +102,7 @@
             calls
                 .next(|| {
                     let begun = begun.clone();
-                    async move { begun.set(begun.get() + 1) }
+                    Some(async move { begun.set(begun.get() + 1) })
                 })
                 .await;
             assert_eq!(begun.get(), round);
@@ -111,3 +111,24 @@
     })
     .unwrap();
 }
+
+/// An answer that is arriving, however slowly, is not asked for again.
+#[test]
+fn no_call_begins_while_the_answer_of_one_is_on_its_way() {
+    block_on(async {
+        let calls = calls(4);
+        let begun = Rc::new(Cell::new(0));
+        let answer = calls
+            .next(|| {
+                let is_receiving = begun.get() > 0;
+                begun.set(begun.get() + 1);
+                (!is_receiving).then(|| sleep(OVERDUE * 6))
+            })
+            .await;
+        assert!(answer.asked_at.elapsed() >= OVERDUE * 6);
+        assert_eq!(calls.under_way(), 0);
+        // It was looked at now and then, not without a pause.
+        assert!((2..=20).contains(&begun.get()), "{}", begun.get());
+    })
+    .unwrap();
+}
