--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -200,6 +200,27 @@
         addresses
     }
 
+    /// A number within `range`, with a fraction or without, or `default` if
+    /// it is absent.
+    pub fn quantity(
+        &mut self,
+        key: &str,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> f64 {
+        let Some(value) = self.take(key) else {
+            return default;
+        };
+        let number = value.as_f64().filter(|number| range.contains(number));
+        number.unwrap_or_else(|| {
+            let (low, high) = range.into_inner();
+            let found = shown(&value);
+            let wanted = format!("a number from {low} to {high}");
+            self.fault(key, format!("expected {wanted}, {found}"));
+            default
+        })
+    }
+
     /// A whole number within `range`, or `default` if it is absent.
     pub fn number(
         &mut self,
@@ -232,7 +253,7 @@
         })
     }
 
-    /// A duration such as `250ms`, `20s`, `5m` or `2h` within `range`, or
+    /// A duration such as `250ms`, `1.5s`, `5m` or `2h` within `range`, or
     /// `default` if it is absent.
     pub fn duration(
         &mut self,
@@ -359,34 +380,35 @@
     !text.is_empty() && text.chars().all(allowed)
 }
 
-/// Splits a quantity into its digits and its unit.
-fn split_unit(text: &str) -> Option<(u64, &str)> {
-    let end = text.find(|c: char| !c.is_ascii_digit())?;
+/// Splits a quantity into its number and its unit.
+fn split_unit(text: &str) -> Option<(f64, &str)> {
+    let is_digit = |c: char| c.is_ascii_digit() || c == '.';
+    let end = text.find(|c: char| !is_digit(c))?;
     let (digits, unit) = text.split_at(end);
     Some((digits.parse().ok()?, unit))
 }
 
 fn parse_duration(text: &str) -> Option<Duration> {
     let (count, unit) = split_unit(text)?;
-    let factor_ms = match unit {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        "h" => 3_600_000,
+    let duration = match unit {
+        "ms" => count / 1_000.0,
+        "s" => count,
+        "m" => count * 60.0,
+        "h" => count * 3_600.0,
         _ => return None,
     };
-    Some(Duration::from_millis(count.checked_mul(factor_ms)?))
+    Duration::try_from_secs_f64(duration).ok()
 }
 
 fn parse_size(text: &str) -> Option<u64> {
     let (count, unit) = split_unit(text)?;
     let factor = match unit {
-        "B" => 1,
-        "KiB" => 1024,
-        "MiB" => 1024 * 1024,
+        "B" => 1.0,
+        "KiB" => 1024.0,
+        "MiB" => 1024.0 * 1024.0,
         _ => return None,
     };
-    count.checked_mul(factor)
+    Some((count * factor).round() as u64)
 }
 
 fn shown(value: &Value) -> String {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -26,7 +26,7 @@
     /// Retries for each request.
     pub ratio: f64,
     /// Retries beyond the ratio.
-    pub slack: u32,
+    pub slack: f64,
 }
 
 /// Where the platform's log is and how long it keeps records.
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Time for which records are kept.
     pub retention: Duration,
+    /// Partitions of each topic that a group shares out.
+    pub partitions: u32,
 }
 
 /// How budgets are handled.
@@ -116,6 +118,8 @@
     pub entry_width: usize,
     /// Processor of the VM in hundredths of a core; 0 if it is not known.
     pub capacity: u32,
+    /// Time within which a change of the declarations must be in force.
+    pub apply_time: Duration,
     /// Longest time between the order to leave and the end of the process.
     pub leave_time: Duration,
     /// Peer addresses of routers to ask at the start, in case the platform
@@ -191,6 +195,8 @@
         let entry_width = reader.number("entry_width", 5, 1..=64) as usize;
         let capacity = reader.cores("capacity");
         let retries = parse_retries(&mut reader);
+        let apply_time =
+            reader.duration("apply_time", s(2), ms(500)..=s(600));
         let leave_time =
             reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
         let seeds = reader.addresses("seeds");
@@ -210,6 +216,7 @@
             entry_lifetime,
             entry_width,
             capacity,
+            apply_time,
             leave_time,
             seeds,
         })
@@ -233,7 +240,7 @@
 fn parse_retries(reader: &mut super::YamlReader) -> RetrySettings {
     let mut section = reader.section("retries");
     let ratio = section.fraction("ratio", 0.1);
-    let slack = section.number("slack", 20, 0..=1_000_000) as u32;
+    let slack = section.quantity("slack", 20.0, 0.0..=1e6);
     section.finish();
     RetrySettings { ratio, slack }
 }
@@ -243,8 +250,9 @@
     let address = section.address("address");
     let day = s(24 * 3600);
     let retention = section.duration("retention", day, s(1)..=day * 366);
+    let partitions = section.number("partitions", 12, 1..=65_536) as u32;
     section.finish();
-    LogSettings { address, retention }
+    LogSettings { address, retention, partitions }
 }
 
 fn parse_budgets(reader: &mut super::YamlReader) -> BudgetSettings {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -34,7 +34,7 @@
 /// Share of the fleet's retry budget that the routers divide among
 /// themselves, in percent. The rest covers routers that restart with a full
 /// budget because they have no record of what they spent before.
-const RETRY_SHARE_PERCENT: u32 = 75;
+const RETRY_SHARE_PERCENT: f64 = 75.0;
 
 /// The sum of the routers' shares of an engine, as a multiple of its slots.
 /// It is above 1 because the load of the routers is uneven.
@@ -410,9 +410,10 @@
                 0 => DEFAULT_ROUTER_COUNT,
                 count => count as u32,
             };
-            let percent = settings.ratio * f64::from(RETRY_SHARE_PERCENT);
-            let slack = settings.slack * RETRY_SHARE_PERCENT / 100 / routers;
-            RetryBudget::with_limits(percent as u32, (slack / 2).max(1))
+            let percent = settings.ratio * RETRY_SHARE_PERCENT;
+            let slack = settings.slack * RETRY_SHARE_PERCENT / 100.0;
+            let saved = slack / f64::from(routers) / 2.0;
+            RetryBudget::with_limits(percent as u32, (saved as u32).max(1))
         });
         operation(budget)
     }
--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -23,22 +23,23 @@
 
 use crate::ports::DeclaredState;
 
-/// Declarations are fresh for this long after a confirmation. A change must
-/// be in force everywhere within 2 s, and each read of the store waits up to
-/// 0.5 s.
-const FRESH_WINDOW: Duration = Duration::from_millis(1_500);
+/// Time within which a change must be in force everywhere, unless the
+/// settings say otherwise.
+const APPLY_TIME: Duration = Duration::from_secs(2);
 
-/// Age from which other routers are asked to confirm the declarations. Two
-/// consecutive reads should have completed by then.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(1_100);
+/// Declarations are fresh after a confirmation for this part of the apply
+/// time. The rest covers a read, which waits up to 0.5 s at the store.
+const FRESH_FRACTION: f64 = 0.75;
 
-/// Declarations are stale once another router has used newer ones for this
-/// long. The rest of the 2 s covers the time until the other router had
-/// them.
-const SUPERSEDED_GRACE: Duration = Duration::from_millis(1_000);
+/// Age from which other routers are asked to confirm the declarations, as a
+/// part of the apply time. Two consecutive reads should have completed by
+/// then.
+const CONFIRMATION_FRACTION: f64 = 0.55;
 
-/// The time within which a change must be in force everywhere.
-const MAX_APPLY_DELAY: Duration = Duration::from_millis(2_000);
+/// Declarations are stale once another router has used newer ones for this
+/// part of the apply time. The rest covers the time until the other router
+/// had them.
+const SUPERSEDED_FRACTION: f64 = 0.5;
 
 /// If late answers are followed by none for this long, the store is down or
 /// this router is cut off, rather than its link congested.
@@ -97,8 +98,10 @@
 /// tracker.adopt(4, "{}".into(), later);
 /// assert!(tracker.staleness(later).is_none());
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DeclarationTracker {
+    /// Time within which a change must be in force everywhere.
+    apply_time: Duration,
     current: Option<CurrentDeclaration>,
     /// When the declarations were last known to be in force.
     confirmed_at: Option<Instant>,
@@ -110,7 +113,22 @@
 impl DeclarationTracker {
     /// Creates the tracker of a router that knows no declarations.
     pub fn new() -> DeclarationTracker {
-        DeclarationTracker::default()
+        DeclarationTracker {
+            apply_time: APPLY_TIME,
+            current: None,
+            confirmed_at: None,
+            answered_at: None,
+            newer: None,
+        }
+    }
+
+    /// Sets the time within which a change must be in force everywhere.
+    pub fn with_apply_time(
+        mut self,
+        apply_time: Duration,
+    ) -> DeclarationTracker {
+        self.apply_time = apply_time;
+        self
     }
 
     /// Returns the version that the router uses.
@@ -161,14 +179,15 @@
 
     /// Returns whether the declarations were confirmed recently.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        self.age(now).is_some_and(|age| age < FRESH_WINDOW)
+        let fresh_for = self.apply_time.mul_f64(FRESH_FRACTION);
+        self.age(now).is_some_and(|age| age < fresh_for)
     }
 
     /// Returns whether other routers should be asked to confirm the
     /// declarations.
     pub fn needs_confirmation(&self, now: Instant) -> bool {
-        let is_recent =
-            self.age(now).is_some_and(|age| age < CONFIRMATION_DELAY);
+        let asked_after = self.apply_time.mul_f64(CONFIRMATION_FRACTION);
+        let is_recent = self.age(now).is_some_and(|age| age < asked_after);
         self.current.is_none() || self.newer.is_some() || !is_recent
     }
 
@@ -176,7 +195,7 @@
     pub fn staleness(&self, now: Instant) -> Option<StaleReason> {
         if let Some(newer) = self.newer {
             let known_for = now.saturating_duration_since(newer.since);
-            if known_for >= SUPERSEDED_GRACE {
+            if known_for >= self.apply_time.mul_f64(SUPERSEDED_FRACTION) {
                 return Some(StaleReason::Superseded(newer));
             }
         }
@@ -184,7 +203,7 @@
         let gap = now.saturating_duration_since(self.answered_at?);
         // `age - gap` is the age of the last answer on its arrival.
         let was_late = age.saturating_sub(gap) >= LATE_ANSWER_AGE;
-        let is_stale = was_late && gap < OUTAGE_GAP && age >= MAX_APPLY_DELAY;
+        let is_stale = was_late && gap < OUTAGE_GAP && age >= self.apply_time;
         is_stale.then_some(StaleReason::LateAnswers(age))
     }
 
@@ -206,3 +225,9 @@
         })
     }
 }
+
+impl Default for DeclarationTracker {
+    fn default() -> DeclarationTracker {
+        DeclarationTracker::new()
+    }
+}
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -143,6 +143,8 @@
         timer: timer.clone(),
     };
     let keeper = AllowanceKeeper::new(id.clone(), options, keeper_ports);
+    let declarations =
+        DeclarationTracker::new().with_apply_time(settings.apply_time);
     GatewayCore {
         settings,
         id,
@@ -157,7 +159,7 @@
         in_progress: Cell::new(0),
         token_shortage_until: Cell::new(None),
         catalog: RefCell::new(None),
-        declarations: RefCell::new(DeclarationTracker::new()),
+        declarations: RefCell::new(declarations),
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageTracker::new()),
--- a/tests/declared.rs
+++ b/tests/declared.rs
@@ -174,3 +174,20 @@
         assert_eq!(tracker.staleness(now), None);
     }
 }
+
+/// The bound on a change follows the settings: where it is 4 s, answers that
+/// are 3 s old do not stop the service.
+#[test]
+fn the_apply_time_moves_all_bounds() {
+    let start = Instant::now();
+    let mut tracker = tracker(start).with_apply_time(ms(4_000));
+    tracker.record_store_answer(start, start + ms(1_500));
+    assert!(!tracker.needs_confirmation(start + ms(2_100)));
+    assert!(tracker.is_fresh(start + ms(2_900)));
+    assert_eq!(tracker.staleness(start + ms(3_900)), None);
+    let late = Some(StaleReason::LateAnswers(ms(4_000)));
+    assert_eq!(tracker.staleness(start + ms(4_000)), late);
+    tracker.record_newer(4, start + ms(1_600));
+    assert_eq!(superseded_by(&tracker, start + ms(3_500)), None);
+    assert!(superseded_by(&tracker, start + ms(3_600)).is_some());
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings and declarations: every fault is reported, each in one line.
 
+use std::time::Duration;
+
 use {
     magnoliahaven::{Declaration, RouterSettings, config::ConfigFault},
     yare::parameterized,
@@ -75,6 +77,35 @@
     assert_eq!(faults[0].key, key);
 }
 
+/// The platform gives its bounds as whole numbers or as fractions.
+#[parameterized(
+    ratio = { "retries: {ratio: 0.25}" },
+    whole_slack = { "retries: {slack: 58}" },
+    slack = { "retries: {slack: 33.16}" },
+    apply_time = { "apply_time: 2500.5ms" },
+    leave_time = { "leave_time: 8.25s" },
+    retention = { "limits: {request_time: 1.5s}" },
+    capacity = { "capacity: 0.12" },
+    partitions = { "entry_width: 5" },
+)]
+fn a_bound_may_have_a_fraction(line: &str) {
+    let text = format!("{SETTINGS}{line}\n");
+    let settings = RouterSettings::parse("a.yaml", &text);
+    assert_eq!(settings.map(|_| ()).map_err(lines), Ok(()));
+}
+
+#[test]
+fn fractions_keep_their_value() {
+    let text = format!(
+        "{SETTINGS}retries: {{slack: 33.16}}\nleave_time: 8.25s\n\
+         apply_time: 700ms\n"
+    );
+    let settings = RouterSettings::parse("a.yaml", &text).unwrap();
+    assert_eq!(settings.retries.slack, 33.16);
+    assert_eq!(settings.leave_time, Duration::from_millis(8_250));
+    assert_eq!(settings.apply_time, Duration::from_millis(700));
+}
+
 #[test]
 fn text_that_is_not_yaml_is_one_fault() {
     let faults = RouterSettings::parse("a.yaml", "a: [").unwrap_err();
