Few large VMs serve callers; standbys do not follow the tokens' topic

The store's answers came after their timeouts and were asked for again.

Change: the VMs that serve are the largest ones that together have a quarter of the capacity (selection_size). The others are standbys: they give back their tokens and read the topic only when a request needs some (SyncPace). The tokens kept ahead of need are shared over the VMs that serve.

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Mutex, Notify};
 
 use super::{
-    AllowanceBalance, AllowanceLedger, TokenHold, lending::PendingLoan,
-    sync::AppendState,
+    AllowanceBalance, AllowanceLedger, ServingState, TokenHold,
+    lending::PendingLoan, sync::AppendState,
 };
 use crate::{
     catalog::AccountSpec,
@@ -88,6 +88,9 @@
     /// does so at a time.
     pub(super) sync_lock: Mutex<()>,
     pub(super) is_draining: Cell<bool>,
+    pub(super) serving: Cell<ServingState>,
+    /// When a request last needed tokens.
+    pub(super) last_needed: Cell<Option<Instant>>,
     /// Accounts for which a request asks peers at the moment.
     pub(super) borrowing_accounts: RefCell<BTreeSet<String>>,
     pub(super) last_loan: Cell<u64>,
@@ -133,6 +136,8 @@
             append_state,
             sync_lock: Mutex::new(()),
             is_draining: Cell::new(false),
+            serving: Cell::new(ServingState::new()),
+            last_needed: Cell::new(None),
             borrowing_accounts: RefCell::default(),
             last_loan: Cell::new(0),
             pending_loans: RefCell::default(),
@@ -154,6 +159,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets whether callers are sent to this router.
+    pub fn set_serving(&self, serving: ServingState) {
+        let previous = self.serving.replace(serving);
+        if serving.is_listed && !previous.is_listed {
+            self.sync_requested.notify_one();
+        }
+    }
+
     /// Whether the topic answered the last call.
     pub fn is_topic_reachable(&self) -> bool {
         self.topic_state.lost_time().is_none()
@@ -191,6 +204,7 @@
         let Some(prepaid) = prepaid else {
             return Ok(TokenHold::uncharged());
         };
+        self.last_needed.set(Some(Instant::now()));
         if let Some(hold) = self.try_reserve(account, tokens) {
             return Ok(hold);
         }
--- a/src/allowance/lending.rs
+++ b/src/allowance/lending.rs
@@ -107,6 +107,7 @@
                 event:% = LogEvent::LoanReturned, account, tokens, peer;
                 "loan canceled by its borrower, which got no answer"
             );
+            self.sync_requested.notify_one();
             return 0;
         }
         let tokens = ledger.lend(request);
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -33,6 +33,7 @@
 mod lending;
 mod loans;
 mod own_use;
+mod pace;
 mod record;
 mod sync;
 
@@ -40,5 +41,6 @@
     book::{AllowanceBalance, AllowanceBatch, AllowanceLedger, ClaimCut},
     hold::TokenHold,
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
+    pace::{ServingState, SyncPace},
     record::{AllowanceRecord, allowance_key},
 };
--- a/src/allowance/sync.rs
+++ b/src/allowance/sync.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use super::{AllowanceBatch, AllowanceKeeper, allowance_key};
+use super::{AllowanceBatch, AllowanceKeeper, SyncPace, allowance_key};
 use crate::{
     domain::HolderId,
     ports::{KeyedFault, KeyedRecord, TopicWriter},
@@ -100,6 +100,12 @@
                 continue;
             }
             self.topic_state.note_answer();
+            if self.pace() == SyncPace::Dormant {
+                self.sync_requested.notified().await;
+                // The newest records are fewer than those missed meanwhile.
+                self.is_loaded.set(false);
+                continue;
+            }
             let is_idle = self.ledger.borrow().is_idle();
             let factor = if is_idle { IDLE_INTERVAL_FACTOR } else { 1 };
             let wait = self.options.settle_interval * factor;
@@ -113,6 +119,21 @@
         }
     }
 
+    /// Returns how this router synchronizes its records at present.
+    fn pace(&self) -> SyncPace {
+        let mut ledger = self.ledger.borrow_mut();
+        let unused_for = self.last_needed.get().map(|at| at.elapsed());
+        let serving = self.serving.get();
+        let pace = SyncPace::new(serving, unused_for, !ledger.is_idle());
+        // A last record may be left to append although no tokens are.
+        if pace == SyncPace::Dormant
+            && !ledger.release_batch().records.is_empty()
+        {
+            return SyncPace::Releasing;
+        }
+        pace
+    }
+
     /// Appends this router's changed records and reads all new ones, and
     /// repeats both while claims are cut.
     async fn sync(&self) -> Result<(), KeyedFault> {
@@ -160,12 +181,14 @@
     }
 
     fn next_batch(&self) -> AllowanceBatch {
+        let should_release =
+            self.is_draining.get() || self.pace() != SyncPace::Serving;
         let mut ledger = self.ledger.borrow_mut();
-        if self.is_draining.get() {
+        if should_release {
             return ledger.release_batch();
         }
         let prepaid = self.prepaid.borrow();
-        let routers = self.ports.directory.entry_count() as u64;
+        let routers = self.serving.get().serving_routers;
         ledger.next_batch(&prepaid, routers, Instant::now())
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,8 +14,9 @@
     ports::{VmEntry, VmRole, VmState},
 };
 
-/// One in this many entry VMs serves callers; the others are standbys.
-const SELECTION_DIVISOR: usize = 3;
+/// The VMs that serve callers have at least one part in this many of the
+/// capacity of all entry VMs; the others are standbys.
+const SERVING_CAPACITY_DIVISOR: u32 = 4;
 
 /// The rendezvous key of the selection that all callers share.
 const SELECTION_KEY: &str = "entry";
@@ -105,18 +106,44 @@
     }
 }
 
-/// Returns how many of `count` entry VMs serve callers; at least `min`.
+/// Returns how many entry VMs serve callers, given the capacity of each VM;
+/// at least `min`.
+///
+/// Large VMs are selected first, so few of them suffice. The prepaid tokens
+/// of an account are then held in few places. VMs of unknown capacity, which
+/// is 0, count as the smallest ones.
 ///
 /// # Example
 ///
 /// ```
 /// use magnoliahaven::entry::selection_size;
 ///
-/// assert_eq!(selection_size(9, 5), 5);
-/// assert_eq!(selection_size(61, 5), 21);
+/// assert_eq!(selection_size([25; 9], 5), 5);
+/// assert_eq!(selection_size([0; 100], 5), 25);
+/// // 10 of 43 cores are on 21 large VMs.
+/// let large = std::iter::repeat_n(50, 21);
+/// let small = std::iter::repeat_n(12, 274);
+/// assert_eq!(selection_size(large.chain(small), 5), 24);
 /// ```
-pub fn selection_size(count: usize, min: usize) -> usize {
-    count.div_ceil(SELECTION_DIVISOR).max(min)
+pub fn selection_size(
+    capacities: impl IntoIterator<Item = u32>,
+    min: usize,
+) -> usize {
+    let capacities = capacities.into_iter().map(|capacity| capacity.max(1));
+    let mut capacities: Vec<u32> = capacities.collect();
+    capacities.sort_unstable_by(|a, b| b.cmp(a));
+    let total: u32 = capacities.iter().sum();
+    let needed = total.div_ceil(SERVING_CAPACITY_DIVISOR);
+    let mut size = 0;
+    let mut selected = 0;
+    for capacity in capacities {
+        if selected >= needed {
+            break;
+        }
+        selected += capacity;
+        size += 1;
+    }
+    size.max(min)
 }
 
 /// Selects the `size` entry VMs that all callers share.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -7,6 +7,7 @@
 use super::GatewayCore;
 use crate::{
     adapters::http::{HttpRequest, text_response},
+    allowance::ServingState,
     entry::{EntryHealth, select_entries, selection_size},
     process::{ProcessCore, serve_sync},
 };
@@ -75,20 +76,25 @@
         addresses
     }
 
-    /// Returns whether entry answers list this router.
-    pub(super) fn receives_callers(&self) -> bool {
+    /// Returns whether entry answers list this router, and how many they
+    /// list.
+    pub(super) fn serving_state(&self) -> ServingState {
         let query = EntryQuery {
             region: self.settings.region.clone(),
             domain: self.settings.domain.clone(),
         };
         let own = self.settings.listen.callers;
-        self.entry_addresses(&query).contains(&own)
+        let addresses = self.entry_addresses(&query);
+        ServingState {
+            is_listed: addresses.contains(&own),
+            serving_routers: addresses.len() as u64,
+        }
     }
 
     /// Returns the number of routers that entry answers list.
     pub(super) fn entry_width(&self) -> usize {
-        let count = self.directory.entry_count();
-        selection_size(count, self.settings.entry_width)
+        let capacities = self.directory.entry_capacities();
+        selection_size(capacities, self.settings.entry_width)
     }
 
     fn entry_health(&self, vm: &str) -> EntryHealth {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -76,7 +76,9 @@
         let reachable = core.keeper.is_topic_reachable();
         core.metrics.store_reachable.set(i64::from(reachable));
         core.metrics.claims_cut.inc_by(core.keeper.take_cuts());
-        let is_busy = core.in_progress.get() > 0 || core.receives_callers();
+        let serving = core.serving_state();
+        core.keeper.set_serving(serving);
+        let is_busy = core.in_progress.get() > 0 || serving.is_listed;
         let is_idle = is_read && !is_busy;
         let interval =
             if is_idle { IDLE_POLL_INTERVAL } else { UPSTREAM_POLL_INTERVAL };
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -123,6 +123,13 @@
         vms.values().filter(|e| e.role == VmRole::Entry).count()
     }
 
+    /// Returns the capacity of each entry VM, including leaving ones.
+    pub fn entry_capacities(&self) -> Vec<u32> {
+        let vms = self.vms();
+        let entries = vms.values().filter(|e| e.role == VmRole::Entry);
+        entries.map(|entry| entry.capacity).collect()
+    }
+
     /// Returns the live entry VMs in the order in which they serve `key`.
     ///
     /// The order is a rendezvous ranking: it is the same at every router
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -15,7 +15,7 @@
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
         },
         domain::HolderId,
-        entry::{EntryHealth, select_entries},
+        entry::{EntryHealth, select_entries, selection_size},
         gateway::{LeavePlan, MoveRole, ServiceMove},
         membership::{
             OutageTracker, RosterChange, UpstreamRoster, VmDirectory,
@@ -485,6 +485,29 @@
     }
 }
 
+/// Load patterns of the known fleets: a few large VMs beside many small ones
+/// behind narrow links, which carry a quarter of the load with the fewest
+/// pieces of each account.
+#[yare::parameterized(
+    equal = { 9, 25, 0, 0, 5 },
+    grown = { 6, 50, 55, 12, 5 },
+    grown_in_five_domains = { 10, 50, 61, 12, 7 },
+    hundreds = { 21, 50, 274, 12, 24 },
+    hundreds_of_one_size = { 300, 25, 0, 0, 75 },
+    large_ones_lost = { 2, 50, 274, 12, 65 },
+)]
+fn the_largest_vms_with_a_quarter_of_the_capacity_serve(
+    large: usize,
+    large_capacity: u32,
+    small: usize,
+    small_capacity: u32,
+    expected: usize,
+) {
+    let large = std::iter::repeat_n(large_capacity, large);
+    let small = std::iter::repeat_n(small_capacity, small);
+    assert_eq!(selection_size(large.chain(small), 5), expected);
+}
+
 #[test]
 fn a_router_that_reaches_nobody_uses_the_list_alone() {
     let vms = entry_vms(9, &["altiplano"], 3);
