Loans from any peer that has tokens; suspects are told at once; ended incarnations hold nothing

While no VM reached the store, nearly all refusals for want of tokens came while peers held more than five times as much. A VM that the platform turned away leaves the list; a probe without an address counted as one without an answer. After all VMs had lost power, what a VM had left in an account counted as held until its successor used that account: requests waited for tokens that nobody has.

Change: LenderMemory passes over peers that have just refused, so that the next ones are asked, and a loan covers two seconds of demand; a VM without an address is not probed, a suspect is probed again after the next VM, and its time grows with the logarithm of the fleet; a record counts as ended when its VM has written as a later incarnation.

Each has a test that failed first (tests/allowance.rs, tests/membership.rs).

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -16,6 +16,13 @@
     telemetry::note_unreadable,
 };
 
+/// A loan is asked for at least so many requests of the size of the waiting
+/// one.
+const LOAN_SIZE_FACTOR: u64 = 4;
+
+/// A loan covers the demand of one part in this many of the horizon.
+const LOAN_HORIZON_DIVISOR: u64 = 4;
+
 /// The newest record of a VM, with its position in the topic.
 #[derive(Clone, Copy, Debug)]
 struct StoredRecord {
@@ -23,6 +30,13 @@
     offset: u64,
 }
 
+/// The incarnation of a VM that wrote last, to any account.
+#[derive(Clone, Copy, Debug)]
+struct LastWriter {
+    incarnation: u64,
+    offset: u64,
+}
+
 /// The balance of an account as far as this VM knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AllowanceBalance {
@@ -68,6 +82,7 @@
     horizon: Duration,
     cursor: u64,
     records: BTreeMap<String, BTreeMap<String, StoredRecord>>,
+    last_writers: BTreeMap<String, LastWriter>,
     usage: BTreeMap<String, AccountUsage>,
     loans: LentLoans,
     /// This VM's records that have not been read back yet.
@@ -91,6 +106,7 @@
             horizon,
             cursor: 0,
             records: BTreeMap::new(),
+            last_writers: BTreeMap::new(),
             usage: BTreeMap::new(),
             loans: LentLoans::default(),
             unconfirmed: AllowanceBatch::default(),
@@ -175,6 +191,7 @@
             return None;
         }
         stored.insert(vm.to_owned(), StoredRecord { record, offset });
+        self.note_writer(vm, record.incarnation, offset);
         if vm != self.vm {
             return None;
         }
@@ -187,6 +204,30 @@
         Some((account.to_owned(), record))
     }
 
+    fn note_writer(&mut self, vm: &str, incarnation: u64, offset: u64) {
+        let writer = LastWriter { incarnation, offset };
+        let known = self.last_writers.entry(vm.to_owned()).or_insert(writer);
+        if known.offset < offset {
+            *known = writer;
+        }
+    }
+
+    /// Returns a VM's record as it counts now.
+    ///
+    /// A new incarnation writes only to accounts that it uses. Wherever its
+    /// predecessor's record is still the newest, what that had left is lost.
+    fn effective_record(
+        &self,
+        vm: &str,
+        stored: &StoredRecord,
+    ) -> AllowanceRecord {
+        let last_writer = self.last_writers.get(vm);
+        let is_ended = last_writer.is_some_and(|writer| {
+            writer.incarnation != stored.record.incarnation
+        });
+        if is_ended { stored.record.after_end() } else { stored.record }
+    }
+
     /// Grants the claim of an unconfirmed record, which must be the newest one
     /// read, up to what the records of other VMs leave free.
     fn grant(
@@ -241,9 +282,8 @@
         &self,
         account: &str,
     ) -> impl Iterator<Item = AllowanceRecord> {
-        let stored = self.records.get(account);
-        let records = stored.into_iter().flat_map(BTreeMap::values);
-        records.map(|stored| stored.record)
+        let stored = self.records.get(account).into_iter().flatten();
+        stored.map(|(vm, stored)| self.effective_record(vm, stored))
     }
 
     fn other_records(
@@ -252,7 +292,7 @@
     ) -> impl Iterator<Item = (&String, AllowanceRecord)> {
         let stored = self.records.get(account).into_iter().flatten();
         let others = stored.filter(|(vm, _)| **vm != self.vm);
-        others.map(|(vm, stored)| (vm, stored.record))
+        others.map(|(vm, stored)| (vm, self.effective_record(vm, stored)))
     }
 
     /// Returns this VM's record as last read from the topic.
@@ -412,6 +452,19 @@
         tokens
     }
 
+    /// Returns how many tokens to borrow for a request of `tokens`, so that
+    /// those that follow need no loan of their own.
+    pub fn loan_size(
+        &mut self,
+        account: &str,
+        tokens: u64,
+        now: Instant,
+    ) -> u64 {
+        let demand = self.usage_mut(account, now).demand.target(now);
+        let ahead = demand / LOAN_HORIZON_DIVISOR;
+        ahead.max(tokens.saturating_mul(LOAN_SIZE_FACTOR))
+    }
+
     /// Adds tokens that another VM has lent.
     pub fn add_borrowed(&mut self, account: &str, tokens: u64, now: Instant) {
         self.usage_mut(account, now).borrowed += tokens;
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Mutex, Notify};
 
 use super::{
-    AllowanceBalance, AllowanceLedger, ServingState, TokenHold,
+    AllowanceBalance, AllowanceLedger, LenderMemory, ServingState, TokenHold,
     lending::PendingLoan, sync::AppendState,
 };
 use crate::{
@@ -93,6 +93,7 @@
     pub(super) last_needed: Cell<Option<Instant>>,
     /// Accounts for which a request asks peers at the moment.
     pub(super) borrowing_accounts: RefCell<BTreeSet<String>>,
+    pub(super) lender_memory: RefCell<LenderMemory>,
     pub(super) last_loan: Cell<u64>,
     pub(super) pending_loans: RefCell<Vec<PendingLoan>>,
 }
@@ -139,6 +140,7 @@
             serving: Cell::new(ServingState::new()),
             last_needed: Cell::new(None),
             borrowing_accounts: RefCell::default(),
+            lender_memory: RefCell::default(),
             last_loan: Cell::new(0),
             pending_loans: RefCell::default(),
         }
@@ -239,6 +241,10 @@
                 if self.borrow(account, tokens).await {
                     continue;
                 }
+                if !self.lenders(account, tokens).is_empty() {
+                    borrowed_at = None;
+                    continue;
+                }
                 if !self.is_topic_reachable() && self.is_loaded.get() {
                     // Neither the topic nor a peer can provide tokens now.
                     return Err(self.unavailable(account, tokens));
--- a/src/allowance/lending.rs
+++ b/src/allowance/lending.rs
@@ -15,11 +15,9 @@
     telemetry::LogEvent,
 };
 
-/// Maximum number of peers that a waiting request asks for tokens.
-const MAX_LENDERS: usize = 3;
-
-/// A loan is asked for so many requests of the size of the waiting one.
-const LOAN_SIZE_FACTOR: u64 = 4;
+/// Maximum duration of one round of calls for a loan. A peer that does not
+/// answer takes a good part of it.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval at which loans whose answers were lost are canceled. It is longer
 /// than a call to a peer takes.
@@ -47,10 +45,11 @@
     }
 
     async fn borrow_from_peers(&self, account: &str, tokens: u64) -> bool {
-        let mut lenders = self.ledger.borrow().lenders(account);
-        lenders.retain(|vm| !self.ports.members.health(vm).unusable);
-        lenders.truncate(MAX_LENDERS);
-        for vm in lenders {
+        let started = Instant::now();
+        for vm in self.lenders(account, tokens) {
+            if started.elapsed() >= ROUND_TIMEOUT {
+                break;
+            }
             let Some(peer) = self.ports.directory.peer_address(&vm) else {
                 continue;
             };
@@ -59,7 +58,7 @@
                 budget: account.to_owned(),
                 to: self.id.clone(),
                 min_tokens: tokens,
-                wanted_tokens: tokens.saturating_mul(LOAN_SIZE_FACTOR),
+                wanted_tokens: self.loan_size(account, tokens),
                 loan: self.last_loan.get(),
             };
             // The loan stays pending if the caller disconnects before the
@@ -69,10 +68,12 @@
             let call = PeerCall::Lend(pending.request.clone());
             let reply = self.ports.peers.call(peer, call).await;
             let Ok(PeerAnswer::Lent(reply)) = reply else {
+                self.record_refusal(account, &pending.vm, 0);
                 continue;
             };
             self.remove_pending(&pending);
             let Some(reply) = reply else {
+                self.record_refusal(account, &pending.vm, tokens);
                 continue;
             };
             let now = Instant::now();
@@ -88,6 +89,27 @@
         false
     }
 
+    /// Returns the peers to ask for tokens, those with most first.
+    pub(super) fn lenders(&self, account: &str, tokens: u64) -> Vec<String> {
+        let mut ranked = self.ledger.borrow().lenders(account);
+        ranked.retain(|vm| {
+            let is_listed = self.ports.directory.peer_address(vm).is_some();
+            is_listed && !self.ports.members.health(vm).unusable
+        });
+        let memory = self.lender_memory.borrow();
+        memory.choose(account, tokens, ranked, Instant::now())
+    }
+
+    fn loan_size(&self, account: &str, tokens: u64) -> u64 {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.loan_size(account, tokens, Instant::now())
+    }
+
+    fn record_refusal(&self, account: &str, vm: &str, tokens: u64) {
+        let mut memory = self.lender_memory.borrow_mut();
+        memory.record_refusal(account, vm, tokens, Instant::now());
+    }
+
     fn remove_pending(&self, loan: &PendingLoan) {
         self.pending_loans.borrow_mut().retain(|pending| pending != loan);
     }
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -30,6 +30,7 @@
 mod book;
 mod hold;
 mod keeper;
+mod lenders;
 mod lending;
 mod loans;
 mod own_use;
@@ -41,6 +42,7 @@
     book::{AllowanceBalance, AllowanceBatch, AllowanceLedger, ClaimCut},
     hold::TokenHold,
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
+    lenders::LenderMemory,
     pace::{ServingState, SyncPace},
     record::{AllowanceRecord, allowance_key},
 };
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -37,6 +37,14 @@
         rights.saturating_sub(self.spent + self.lost)
     }
 
+    /// Returns the record as it counts once its incarnation has ended: what
+    /// it had left is lost, and nobody waits for tokens.
+    pub fn after_end(mut self) -> AllowanceRecord {
+        self.lost += self.unspent();
+        self.wanted = 0;
+        self
+    }
+
     /// Encodes the record as stored in the topic.
     pub fn encode(&self) -> String {
         // All fields are integers, which always serialize.
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -195,8 +195,7 @@
         let entry_width = reader.number("entry_width", 5, 1..=64) as usize;
         let capacity = reader.cores("capacity");
         let retries = parse_retries(&mut reader);
-        let apply_time =
-            reader.duration("apply_time", s(2), ms(500)..=s(600));
+        let apply_time = reader.duration("apply_time", s(2), ms(500)..=s(600));
         let leave_time =
             reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
         let seeds = reader.addresses("seeds");
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -37,6 +37,10 @@
 /// the number of bits grows like its logarithm.
 const RETRANSMIT_FACTOR: u32 = 3;
 
+/// Rounds of news that the timeout of a suspect covers, as in a fleet of
+/// eight routers; it is longer in a larger fleet.
+const TIMEOUT_ROUNDS: u32 = 3;
+
 /// Number of helpers that are asked to probe a router that did not answer.
 const INDIRECT_PROBES: usize = 2;
 
@@ -307,6 +311,7 @@
             };
             if !self.probe(peers.as_ref(), &vm).await {
                 self.mark_suspect(&vm);
+                self.probe_suspect_again(vm);
             }
         }
     }
@@ -346,7 +351,8 @@
 
     /// Returns the next router to probe.
     ///
-    /// Each router is probed once per cycle, in a random order.
+    /// Each router is probed once per cycle, in a random order. One that is
+    /// no longer listed has no address and is passed over.
     fn next_probe_target(&self) -> Option<String> {
         let mut state = self.state.borrow_mut();
         if state.probe_order.is_empty() {
@@ -355,7 +361,22 @@
             let listed = self.directory.vms();
             state.members.retain(|vm, _| listed.contains_key(vm));
         }
-        state.probe_order.pop()
+        while let Some(vm) = state.probe_order.pop() {
+            if self.directory.peer_address(&vm).is_some() {
+                return Some(vm);
+            }
+        }
+        None
+    }
+
+    /// Returns the time that a suspect has to refute the suspicion.
+    ///
+    /// News takes a number of probe intervals that grows with the logarithm
+    /// of the number of routers.
+    fn suspect_timeout(&self, router_count: usize) -> Duration {
+        let rounds = (router_count.max(1) as f64).log2();
+        let factor = (rounds / f64::from(TIMEOUT_ROUNDS)).max(1.0);
+        self.options.suspect_timeout.mul_f64(factor)
     }
 
     fn other_routers(&self) -> Vec<String> {
@@ -389,12 +410,24 @@
         state.merge(&update);
     }
 
+    /// Probes a suspect again after the next router. The message tells it of
+    /// the suspicion, so that it can refute.
+    fn probe_suspect_again(&self, vm: String) {
+        let mut state = self.state.borrow_mut();
+        let status = state.members.get(&vm).map(|entry| entry.update.status);
+        if status != Some(MemberStatus::Suspect) {
+            return;
+        }
+        let place = state.probe_order.len().saturating_sub(1);
+        state.probe_order.insert(place, vm);
+    }
+
     fn expire_suspects(&self) {
         let mut state = self.state.borrow_mut();
         let mut expired = Vec::new();
+        let timeout = self.suspect_timeout(state.members.len() + 1);
         for entry in state.members.values() {
-            let has_timed_out =
-                entry.updated_at.elapsed() >= self.options.suspect_timeout;
+            let has_timed_out = entry.updated_at.elapsed() >= timeout;
             if entry.update.status == MemberStatus::Suspect && has_timed_out {
                 let mut update = entry.update.clone();
                 update.status = MemberStatus::Dead;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -7,7 +7,9 @@
 
 use {
     magnoliahaven::{
-        allowance::{AllowanceBatch, AllowanceLedger, allowance_key},
+        allowance::{
+            AllowanceBatch, AllowanceLedger, LenderMemory, allowance_key,
+        },
         domain::HolderId,
         ports::{KeyedRecord, LendRequest},
     },
@@ -432,6 +434,36 @@
     assert_eq!(next.ledger.balance(ACCOUNT, 1_000).lost, claimed);
 }
 
+/// All VMs have lost power. The new process of one serves another account
+/// only: what its predecessor held and wanted counts no longer, so that
+/// nobody waits for it.
+#[test]
+fn tokens_of_a_dead_router_are_lost_although_its_successor_is_idle() {
+    const OTHER: &str = "yards";
+    let now = Instant::now();
+    let totals =
+        BTreeMap::from([(ACCOUNT.to_owned(), 1_000), (OTHER.to_owned(), 500)]);
+    let mut topic = Topic::default();
+    let mut dead = Router::new(1, 1);
+    dead.ledger.add_waiting(ACCOUNT, 900, now);
+    sync(&mut dead, &mut topic, 1_000, now);
+    let mut reader = Router::new(2, 1);
+    reader.read(&mut topic, 1_000, now);
+    assert!(!reader.ledger.is_short_after_losses(ACCOUNT, 1_000, 400));
+    assert_eq!(reader.ledger.lenders(ACCOUNT), ["vm-1"]);
+
+    let mut next = Router::new(1, 2);
+    next.read(&mut topic, 1_000, now);
+    next.ledger.add_waiting(OTHER, 100, now);
+    let batch = next.ledger.next_batch(&totals, 2, now);
+    assert!(topic.append(&next.append(batch)));
+    reader.read(&mut topic, 1_000, now);
+    let balance = reader.ledger.balance(ACCOUNT, 1_000);
+    assert_eq!((balance.held, balance.lost), (0, 1_000 - balance.free));
+    assert!(reader.ledger.is_short_after_losses(ACCOUNT, 1_000, 400));
+    assert!(reader.ledger.lenders(ACCOUNT).is_empty());
+}
+
 #[test]
 fn a_spent_account_is_exhausted_at_every_router() {
     let now = Instant::now();
@@ -600,3 +632,93 @@
         assert!(kept * 100 <= TOTAL * 3, "{kept} of {TOTAL} would be lost");
     }
 }
+
+/// Rounds of calls that a request has time for.
+const LOAN_ROUNDS: u64 = 3;
+
+/// Borrows for one request from peers whose records are as old as the outage;
+/// returns whether one had enough.
+fn borrow(
+    routers: &mut [Router],
+    memory: &mut LenderMemory,
+    borrower: usize,
+    tokens: u64,
+    loan_number: &mut u64,
+    now: Instant,
+) -> bool {
+    for _ in 0..LOAN_ROUNDS {
+        let ranked = routers[borrower].ledger.lenders(ACCOUNT);
+        for vm in memory.choose(ACCOUNT, tokens, ranked, now) {
+            let position = routers.iter().position(|r| r.vm == vm);
+            let lender = position.expect("a router");
+            *loan_number += 1;
+            let mut request = loan(&routers[borrower], tokens, *loan_number);
+            let ledger = &mut routers[borrower].ledger;
+            request.wanted_tokens = ledger.loan_size(ACCOUNT, tokens, now);
+            let lent = routers[lender].ledger.lend(&request);
+            if lent > 0 {
+                routers[borrower].ledger.add_borrowed(ACCOUNT, lent, now);
+                return true;
+            }
+            memory.record_refusal(ACCOUNT, &vm, tokens, now);
+        }
+    }
+    false
+}
+
+/// Load pattern of a large fleet without the store: an account is held in 24
+/// pieces, each worth a few requests. The records that rank the lenders stay
+/// as they were before the outage, so all routers think of the same ones.
+#[test]
+fn in_an_outage_a_request_finds_any_peer_that_has_its_tokens() {
+    const ROUTERS: usize = 24;
+    const TOTAL: u64 = 10_000_000;
+    let start = Instant::now();
+    let mut topic = Topic::default();
+    let mut routers: Vec<Router> =
+        (0..ROUTERS).map(|number| Router::new(number, 1)).collect();
+    let sizes = [1_200, 13_000, 2_400, 900, 40_000, 1_500];
+    let mut now = start;
+    for step in 0..ROUTERS * 20 {
+        now = start + Duration::from_millis(10 * step as u64);
+        let router = &mut routers[step % ROUTERS];
+        let tokens = sizes[(step / ROUTERS) % sizes.len()];
+        router.ledger.add_waiting(ACCOUNT, tokens, now);
+        sync(router, &mut topic, TOTAL, now);
+        router.ledger.remove_waiting(ACCOUNT, tokens);
+        if router.ledger.reserve_waiting(ACCOUNT, tokens, now) {
+            router.ledger.settle(ACCOUNT, tokens, tokens);
+        }
+    }
+    for router in &mut routers {
+        sync(router, &mut topic, TOTAL, now);
+    }
+    for router in &mut routers {
+        router.read(&mut topic, TOTAL, now);
+    }
+    let mut memories: Vec<LenderMemory> =
+        (0..ROUTERS).map(|_| LenderMemory::new()).collect();
+    let (mut loan_number, mut refused) = (0, 0);
+    for step in 0..800 {
+        now += Duration::from_millis(10);
+        let index = step * 7 % ROUTERS;
+        let tokens = sizes[step % sizes.len()];
+        if !routers[index].ledger.reserve(ACCOUNT, tokens, now) {
+            let memory = &mut memories[index];
+            let number = &mut loan_number;
+            borrow(&mut routers, memory, index, tokens, number, now);
+            if !routers[index].ledger.reserve(ACCOUNT, tokens, now) {
+                refused += 1;
+                let has_more = |router: &Router| {
+                    let balance = router.ledger.balance(ACCOUNT, TOTAL);
+                    balance.available >= tokens
+                };
+                let having = routers.iter().filter(|r| has_more(r)).count();
+                assert_eq!(having, 0, "step {step}: {tokens} tokens refused");
+                continue;
+            }
+        }
+        routers[index].ledger.settle(ACCOUNT, tokens, tokens);
+    }
+    assert!(refused > 0, "the pieces last longer than the outage");
+}
