--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -16,11 +16,10 @@
     telemetry::note_unreadable,
 };
 
-/// A loan is asked for at least so many requests of the size of the waiting
-/// one.
+/// A loan is at least this many times the size of the waiting request.
 const LOAN_SIZE_FACTOR: u64 = 4;
 
-/// A loan covers the demand of one part in this many of the horizon.
+/// A loan covers the expected demand within this fraction of the horizon.
 const LOAN_HORIZON_DIVISOR: u64 = 4;
 
 /// The newest record of a VM, with its position in the topic.
@@ -204,6 +203,7 @@
         Some((account.to_owned(), record))
     }
 
+    /// Records which incarnation of a VM wrote last.
     fn note_writer(&mut self, vm: &str, incarnation: u64, offset: u64) {
         let writer = LastWriter { incarnation, offset };
         let known = self.last_writers.entry(vm.to_owned()).or_insert(writer);
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -241,6 +241,7 @@
                 if self.borrow(account, tokens).await {
                     continue;
                 }
+                // Peers that have not been asked yet may have tokens.
                 if !self.lenders(account, tokens).is_empty() {
                     borrowed_at = None;
                     continue;
--- a/src/allowance/lenders.rs
+++ b/src/allowance/lenders.rs
@@ -1,10 +1,10 @@
 //! Which peers a router asks for tokens.
 //!
-//! The records of the peers rank them, but while the topic is out of reach
-//! the records are old: a peer that had most tokens may have used them since.
-//! Load pattern: an outage of several seconds, in which all routers ask the
-//! same few peers. A peer that has just refused is therefore passed over, so
-//! that the next ones on the list are asked.
+//! The records rank the peers by the tokens that they have left. While the
+//! topic is unreachable the records are old: a peer that had most tokens may
+//! have used them since. The load pattern is an outage of several seconds, in
+//! which all routers ask the same few peers. A peer that has just refused is
+//! therefore passed over, so that the next ones on the list are asked.
 
 use std::{
     collections::BTreeMap,
@@ -65,8 +65,7 @@
         self.refusals.insert(key, LoanRefusal { tokens, at: now });
     }
 
-    /// Returns the peers to ask for `tokens`, out of those ranked by what
-    /// they have left.
+    /// Returns the peers to ask for `tokens`, in the order of `ranked`.
     pub fn choose(
         &self,
         account: &str,
--- a/src/allowance/pace.rs
+++ b/src/allowance/pace.rs
@@ -14,9 +14,11 @@
 /// Whether this router is among those that serve callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServingState {
-    /// Whether entry answers list this router.
+    /// Whether entry answers list this router, so that callers connect to
+    /// it.
     pub is_listed: bool,
-    /// The number of routers that entry answers list.
+    /// The number of routers that entry answers list, with this one or
+    /// without.
     pub serving_routers: u64,
 }
 
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -37,8 +37,8 @@
 /// the number of bits grows like its logarithm.
 const RETRANSMIT_FACTOR: u32 = 3;
 
-/// Rounds of news that the timeout of a suspect covers, as in a fleet of
-/// eight routers; it is longer in a larger fleet.
+/// Rounds of probes in which an update reaches all of eight routers. The
+/// timeout of a suspect is meant for so many, and longer in a larger fleet.
 const TIMEOUT_ROUNDS: u32 = 3;
 
 /// Number of helpers that are asked to probe a router that did not answer.
@@ -371,8 +371,8 @@
 
     /// Returns the time that a suspect has to refute the suspicion.
     ///
-    /// News takes a number of probe intervals that grows with the logarithm
-    /// of the number of routers.
+    /// An update takes a number of probe intervals to reach all routers that
+    /// grows with the logarithm of their number.
     fn suspect_timeout(&self, router_count: usize) -> Duration {
         let rounds = (router_count.max(1) as f64).log2();
         let factor = (rounds / f64::from(TIMEOUT_ROUNDS)).max(1.0);
