Evidence on versions compares each kind of failure

Cause: all failures were one count. Answers that the old version lost for a reason of its own (0.08 of its requests) raised the rate at which timeouts of the new one were expected, so that 6 of 23 against none did not show.

Change: errors, timeouts and lost answers are compared one by one, beside their sum, with the same bounds.

--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -104,6 +104,34 @@
     TimedOut,
 }
 
+/// The failures that are compared with each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailureKind {
+    Any,
+    Error,
+    Timeout,
+    Lost,
+}
+
+impl FailureKind {
+    const ALL: [FailureKind; 4] = [
+        FailureKind::Any,
+        FailureKind::Error,
+        FailureKind::Timeout,
+        FailureKind::Lost,
+    ];
+
+    /// Returns what the requests did, for operators.
+    fn verb(self) -> &'static str {
+        match self {
+            FailureKind::Any => "failed",
+            FailureKind::Error => "were answered with an error",
+            FailureKind::Timeout => "timed out",
+            FailureKind::Lost => "lost their answer",
+        }
+    }
+}
+
 /// The result of the comparison of the new version with the old one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -170,8 +198,16 @@
         )
     }
 
-    fn failure_rate(&self) -> f64 {
-        self.failures as f64 / self.requests.max(1) as f64
+    fn failures_of(&self, kind: FailureKind) -> u64 {
+        match kind {
+            FailureKind::Any => self.failures,
+            FailureKind::Error => self.errors,
+            FailureKind::Timeout => self.timeouts,
+            // A report of an earlier build has only the sum.
+            FailureKind::Lost => {
+                self.failures.saturating_sub(self.errors + self.timeouts)
+            }
+        }
     }
 
     fn log_mean(&self) -> f64 {
@@ -327,29 +363,52 @@
     compare_failures(old, new).or_else(|| compare_latencies(old, new))
 }
 
+/// Compares each kind of failure, and all of them together.
+///
+/// Failures of one kind that the old version has for a reason of its own must
+/// not hide another kind that only the new version has.
 fn compare_failures(
     old: &RouteEvidence,
     new: &RouteEvidence,
 ) -> Option<String> {
-    if new.failures < MIN_FAILURES {
+    for kind in FailureKind::ALL {
+        if let Some(reason) = compare_failure_kind(kind, old, new) {
+            return Some(reason);
+        }
+    }
+    None
+}
+
+fn compare_failure_kind(
+    kind: FailureKind,
+    old: &RouteEvidence,
+    new: &RouteEvidence,
+) -> Option<String> {
+    let failures = new.failures_of(kind);
+    let old_failures = old.failures_of(kind);
+    if failures < MIN_FAILURES {
         return None;
     }
     let reason = || {
         format!(
-            "{} of {} requests failed, {} of {} on the old version",
-            new.failures, new.requests, old.failures, old.requests,
+            "{failures} of {} requests {}, {old_failures} of {} on the old \
+             version",
+            new.requests,
+            kind.verb(),
+            old.requests,
         )
     };
     if old.requests < MIN_REQUESTS {
-        let fails_alone = new.failures >= MIN_FAILURES_WITHOUT_BASELINE
-            && new.failure_rate() > 0.5;
+        let rate = failures as f64 / new.requests.max(1) as f64;
+        let fails_alone =
+            failures >= MIN_FAILURES_WITHOUT_BASELINE && rate > 0.5;
         return fails_alone.then(reason);
     }
     // One failure is added to both counts, because a few requests without
     // failures do not show a failure rate of zero.
-    let old_rate = (old.failures + 1) as f64 / (old.requests + 1) as f64;
+    let old_rate = (old_failures + 1) as f64 / (old.requests + 1) as f64;
     let expected = old_rate * new.requests as f64;
-    let p_value = poisson_tail(expected, new.failures);
+    let p_value = poisson_tail(expected, failures);
     (p_value < FAILURE_P_VALUE).then(reason)
 }
 
