A version is completed only if it is probably not worse

Cause: completion was the default. At the end of an order a target passed unless it was proved bad beyond one in a million, a bound for a test that is repeated thousands of times; 31 failures in 58 requests beside 0.19 on the old version were not enough. Completion cannot be taken back, since the old upstreams end.

Change: the decision to complete asks for less evidence against the target (`advance_verdict`: two in a thousand, three failures, three standard errors), and is made once. Otherwise the move is rolled back. While a move runs, the bounds are as before.

--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -203,15 +203,29 @@
         if !is_due {
             return None;
         }
-        // A target that has served no request is probably not running.
-        let is_served = sum.new.requests() > 0;
-        Some(if is_served {
+        let is_safe = self.completion_fault().is_none();
+        Some(if is_safe {
             MoveStatus::Completed
         } else {
             MoveStatus::RolledBack
         })
     }
 
+    /// Returns why the target must not get all requests; `None` if it may.
+    ///
+    /// On completion the old upstreams end, so a target that turns out bad
+    /// afterwards cannot be rolled back.
+    fn completion_fault(&self) -> Option<String> {
+        let sum = self.combined_tally();
+        if sum.new.requests() == 0 {
+            return Some("it has served no request".to_owned());
+        }
+        match sum.advance_verdict() {
+            Verdict::Fail { reason } => Some(reason),
+            Verdict::Pass => None,
+        }
+    }
+
     /// Returns why the target is bad by the evidence of this gateway or of
     /// all gateways; `None` if it is not.
     fn rollback_reason(&self) -> Option<String> {
@@ -289,7 +303,9 @@
     }
     let decided = service_move.decide(role, Instant::now());
     if let Some(status) = decided {
-        let fault = service_move.rollback_reason();
+        let fault = service_move
+            .rollback_reason()
+            .or_else(|| service_move.completion_fault());
         let reason = fault.as_deref().unwrap_or("nothing speaks against it");
         core.apply_move_status(service, status, reason);
         if status == MoveStatus::RolledBack {
--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -11,14 +11,37 @@
 /// The key under which all further routes share counters.
 const OVERFLOW_ROUTE: &str = "other";
 
-/// Minimum number of failures for a verdict against the new version.
-const MIN_FAILURES: u64 = 4;
+/// How much evidence against the new version is needed for a verdict.
+#[derive(Clone, Copy, Debug)]
+struct VerdictBounds {
+    /// Minimum number of failures.
+    failures: u64,
+    /// The new version fails if the probability of as many failures at the
+    /// rate of the old version is below this.
+    failure_p_value: f64,
+    /// Minimum number of measured latencies of the new version.
+    timed: u64,
+    /// Minimum difference of the mean log latencies, in standard errors.
+    latency_z_score: f64,
+}
 
-/// The new version fails if the probability of as many failures at the rate
-/// of the old version is below this. The evidence is tested thousands of
-/// times during a move, so a single test needs a very low false positive
-/// rate.
-const FAILURE_P_VALUE: f64 = 1e-6;
+/// Bounds while a move is running. The evidence is tested thousands of times
+/// during a move, so a single test needs a very low false positive rate.
+const RUNNING_BOUNDS: VerdictBounds = VerdictBounds {
+    failures: 4,
+    failure_p_value: 1e-6,
+    timed: MIN_REQUESTS,
+    latency_z_score: 6.0,
+};
+
+/// Bounds before the share of the new version grows. This is tested a few
+/// times in a move, and a bad version that passes cannot be taken back.
+const ADVANCE_BOUNDS: VerdictBounds = VerdictBounds {
+    failures: 3,
+    failure_p_value: 2e-3,
+    timed: 8,
+    latency_z_score: 3.0,
+};
 
 /// Minimum number of failures for a verdict without enough requests of the
 /// old version, if more than half of the requests of the new one failed.
@@ -27,10 +50,6 @@
 /// Minimum number of requests of a version for a comparison.
 const MIN_REQUESTS: u64 = 20;
 
-/// Minimum difference of the mean log latencies for a verdict, in standard
-/// errors.
-const MIN_LATENCY_Z_SCORE: f64 = 6.0;
-
 /// Minimum ratio of the geometric mean latencies for a verdict.
 const MIN_LATENCY_RATIO: f64 = 1.5;
 
@@ -294,9 +313,24 @@
     /// the old version's failure rate, or if its mean log latency lies many
     /// standard errors above the old version's.
     pub fn verdict(&self) -> Verdict {
-        let requests = find_regression(&self.old.routes, &self.new.routes);
+        self.verdict_within(&RUNNING_BOUNDS)
+    }
+
+    /// The same with less evidence against the new version, for the decision
+    /// to give it a larger share of the requests.
+    ///
+    /// A version that is probably bad must not advance, although it need not
+    /// be rolled back at once.
+    pub fn advance_verdict(&self) -> Verdict {
+        self.verdict_within(&ADVANCE_BOUNDS)
+    }
+
+    fn verdict_within(&self, bounds: &VerdictBounds) -> Verdict {
+        let requests =
+            find_regression(bounds, &self.old.routes, &self.new.routes);
         let reason = requests.or_else(|| {
-            let reason = find_regression(&self.old.streams, &self.new.streams);
+            let reason =
+                find_regression(bounds, &self.old.streams, &self.new.streams);
             reason.map(|reason| format!("events of {reason}"))
         });
         match reason {
@@ -346,21 +380,27 @@
 /// Returns the first route on which the new version is worse, and by how
 /// much.
 fn find_regression(
+    bounds: &VerdictBounds,
     old: &BTreeMap<String, RouteEvidence>,
     new: &BTreeMap<String, RouteEvidence>,
 ) -> Option<String> {
     for (route, evidence) in new {
         let before = old.get(route).copied().unwrap_or_default();
-        if let Some(reason) = compare(&before, evidence) {
+        if let Some(reason) = compare(bounds, &before, evidence) {
             return Some(format!("{route}: {reason}"));
         }
     }
-    let reason = compare(&sum_of_routes(old), &sum_of_routes(new))?;
+    let reason = compare(bounds, &sum_of_routes(old), &sum_of_routes(new))?;
     Some(format!("all routes: {reason}"))
 }
 
-fn compare(old: &RouteEvidence, new: &RouteEvidence) -> Option<String> {
-    compare_failures(old, new).or_else(|| compare_latencies(old, new))
+fn compare(
+    bounds: &VerdictBounds,
+    old: &RouteEvidence,
+    new: &RouteEvidence,
+) -> Option<String> {
+    let failures = compare_failures(bounds, old, new);
+    failures.or_else(|| compare_latencies(bounds, old, new))
 }
 
 /// Compares each kind of failure, and all of them together.
@@ -368,11 +408,12 @@
 /// Failures of one kind that the old version has for a reason of its own must
 /// not hide another kind that only the new version has.
 fn compare_failures(
+    bounds: &VerdictBounds,
     old: &RouteEvidence,
     new: &RouteEvidence,
 ) -> Option<String> {
     for kind in FailureKind::ALL {
-        if let Some(reason) = compare_failure_kind(kind, old, new) {
+        if let Some(reason) = compare_failure_kind(bounds, kind, old, new) {
             return Some(reason);
         }
     }
@@ -380,13 +421,14 @@
 }
 
 fn compare_failure_kind(
+    bounds: &VerdictBounds,
     kind: FailureKind,
     old: &RouteEvidence,
     new: &RouteEvidence,
 ) -> Option<String> {
     let failures = new.failures_of(kind);
     let old_failures = old.failures_of(kind);
-    if failures < MIN_FAILURES {
+    if failures < bounds.failures {
         return None;
     }
     let reason = || {
@@ -409,7 +451,7 @@
     let old_rate = (old_failures + 1) as f64 / (old.requests + 1) as f64;
     let expected = old_rate * new.requests as f64;
     let p_value = poisson_tail(expected, failures);
-    (p_value < FAILURE_P_VALUE).then(reason)
+    (p_value < bounds.failure_p_value).then(reason)
 }
 
 /// Returns the probability of at least `count` events in a Poisson
@@ -452,15 +494,16 @@
 }
 
 fn compare_latencies(
+    bounds: &VerdictBounds,
     old: &RouteEvidence,
     new: &RouteEvidence,
 ) -> Option<String> {
-    if old.timed < MIN_REQUESTS || new.timed < MIN_REQUESTS {
+    if old.timed < MIN_REQUESTS || new.timed < bounds.timed {
         return None;
     }
     let LatencyComparison { ratio, z_score } =
         LatencyComparison::new(old, new);
-    if z_score < MIN_LATENCY_Z_SCORE || ratio < MIN_LATENCY_RATIO {
+    if z_score < bounds.latency_z_score || ratio < MIN_LATENCY_RATIO {
         return None;
     }
     Some(format!("{ratio:.1} times as slow as the old version"))
