The canary gets as many requests as the bound on bad versions allows

Cause: the canary was a fixed 6 in 100. Of 41 requests a second for 17 s that are 43 on four routes, too few to tell a version that fails 3 in 10 of them from one that fails 6 in 100; the requests that are allowed beyond a share of the traffic were not used. Other bounds than a tenth were not kept at all.

Change: `moves.exposed_share` and `moves.exposed_requests` give what a bad version may get, and `MoveExposure` derives from them the share of the canary, its extra requests, spread over the duration, and when a move is decided. Each gateway counts what it sends.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -28,6 +28,6 @@
     reader::{ConfigFault, YamlReader, load_yaml},
     settings::{
         BudgetSettings, LimitSettings, ListenSettings, LogSettings,
-        RetrySettings, RouterSettings,
+        MoveSettings, RetrySettings, RouterSettings,
     },
 };
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -29,6 +29,22 @@
     pub slack: f64,
 }
 
+/// How many requests a version that turns out bad may get until the end of
+/// its move, summed over all routers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MoveSettings {
+    /// Share of the requests of the service.
+    pub exposed_share: f64,
+    /// Requests beyond that share.
+    pub exposed_requests: f64,
+}
+
+impl Default for MoveSettings {
+    fn default() -> MoveSettings {
+        MoveSettings { exposed_share: 0.1, exposed_requests: 0.0 }
+    }
+}
+
 /// Where the platform's log is and how long it keeps records.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogSettings {
@@ -112,6 +128,8 @@
     pub limits: LimitSettings,
     /// How often requests may be sent again.
     pub retries: RetrySettings,
+    /// How many requests a bad version may get.
+    pub moves: MoveSettings,
     /// Lifetime of an entry answer.
     pub entry_lifetime: Duration,
     /// Entry VMs that one entry answer names at least.
@@ -195,6 +213,7 @@
         let entry_width = reader.number("entry_width", 5, 1..=64) as usize;
         let capacity = reader.cores("capacity");
         let retries = parse_retries(&mut reader);
+        let moves = parse_moves(&mut reader);
         let apply_time = reader.duration("apply_time", s(2), ms(500)..=s(600));
         let leave_time =
             reader.duration("leave_time", s(3600), s(1)..=s(24 * 3600));
@@ -212,6 +231,7 @@
             budgets,
             limits,
             retries,
+            moves,
             entry_lifetime,
             entry_width,
             capacity,
@@ -244,6 +264,19 @@
     RetrySettings { ratio, slack }
 }
 
+fn parse_moves(reader: &mut super::YamlReader) -> MoveSettings {
+    let default = MoveSettings::default();
+    let mut section = reader.section("moves");
+    let share = section.fraction("exposed_share", default.exposed_share);
+    let requests = section.quantity(
+        "exposed_requests",
+        default.exposed_requests,
+        0.0..=1e6,
+    );
+    section.finish();
+    MoveSettings { exposed_share: share, exposed_requests: requests }
+}
+
 fn parse_log(reader: &mut super::YamlReader) -> LogSettings {
     let mut section = reader.section("log");
     let address = section.address("address");
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -90,6 +90,7 @@
         };
         self.sent_at = Instant::now();
         on_send();
+        self.core.record_version_send(&upstream.service, &upstream.version);
         let left = self.request.answer_deadline() - self.sent_at;
         let call = ForwardCall {
             request: self.request.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,7 +45,7 @@
     declared::{DeclarationTracker, NewerDeclaration, StaleReason},
     entry::EntryQuery,
     leave::LeavePlan,
-    moves::{MoveRole, ServiceMove, VersionChoice},
+    moves::{MoveExposure, MoveRole, ServiceMove, VersionChoice},
     patience::{LatencyEstimator, expected_latency},
     process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -4,7 +4,7 @@
 //! is running, a canary share of the requests goes to the target, selected by
 //! a hash of the request identifier. The canary share alone gives one gateway
 //! too little evidence, so all gateways report their evidence to a few
-//! deciders, which judge the sum.
+//! deciders, which judge the sum. [`MoveExposure`] bounds the canary share.
 //!
 //! A gateway whose own requests show that the target is bad rolls the move
 //! back at once and tells its peers. Only a decider completes a move, and
@@ -19,6 +19,7 @@
 
 use super::GatewayCore;
 use crate::{
+    config::MoveSettings,
     domain::HolderId,
     moves::{
         MoveEvidence, MoveState, RequestResult, Verdict, VersionEvidence,
@@ -30,19 +31,17 @@
 /// Interval between rounds in which the moves are evaluated.
 const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Share of the requests that the target gets while the move is running, in
-/// percent. The limit for a bad version is a tenth.
-const CANARY_PERCENT: u32 = 6;
+/// Part of the allowed share of requests that the target gets while the move
+/// is running. The rest is for the time after its completion.
+const CANARY_PART: f64 = 0.6;
 
-/// Part of an order's duration after which the primary completes the move,
-/// in percent. A completed target may turn bad under full load; the requests
-/// that it gets until the end of the duration, the canary share included,
-/// still stay within a tenth.
-const DECIDE_PERCENT: u32 = 96;
+/// Part of the allowed number of further requests that the canary uses. The
+/// rest covers gateways whose load is uneven, and retries.
+const EXTRA_PART: f64 = 0.6;
 
-/// Part of an order's duration after which the standbys decide, in percent.
-/// The primary may be down.
-const STANDBY_PERCENT: u32 = 98;
+/// Share of the requests that the target gets while it has had fewer than it
+/// may have, in percent.
+const MAX_CANARY_PERCENT: u32 = 20;
 
 /// Number of gateways that judge the evidence of all gateways. The first is
 /// the primary, the others are its standbys.
@@ -68,10 +67,66 @@
     pub(super) route: String,
 }
 
+/// How many requests a target that turns out bad may have got until the end
+/// of its order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MoveExposure {
+    /// Share of all requests of the service.
+    pub share: f64,
+    /// Requests beyond that share at this gateway.
+    pub extra_requests: f64,
+}
+
+impl MoveExposure {
+    /// Creates limits from the settings of the fleet; `gateways` is the
+    /// number of gateways that serve callers.
+    pub fn new(settings: MoveSettings, gateways: usize) -> MoveExposure {
+        let MoveSettings { exposed_share, exposed_requests } = settings;
+        let extra_requests = exposed_requests / gateways.max(1) as f64;
+        MoveExposure { share: exposed_share, extra_requests }
+    }
+
+    /// Returns the share of the requests that the target gets while the move
+    /// is running, without the extra requests.
+    fn canary_share(&self) -> f64 {
+        self.share * CANARY_PART
+    }
+
+    /// Returns the part of an order's duration after which the primary
+    /// completes the move. A completed target may turn bad under full load;
+    /// the requests that it gets until the end of the duration, those of the
+    /// canary included, still stay within the allowed share.
+    fn decide_part(&self) -> f64 {
+        1.0 - self.share * (1.0 - CANARY_PART)
+    }
+
+    /// Returns the part of an order's duration after which the standbys
+    /// decide. The primary may be down.
+    fn standby_part(&self) -> f64 {
+        (1.0 + self.decide_part()) / 2.0
+    }
+}
+
+impl Default for MoveExposure {
+    fn default() -> MoveExposure {
+        MoveExposure::new(MoveSettings::default(), 1)
+    }
+}
+
+/// Requests of a service that this gateway has sent since the order.
+#[derive(Clone, Copy, Debug, Default)]
+struct SendCounts {
+    /// Those to the target.
+    target: u64,
+    all: u64,
+}
+
 /// The state of a move at one gateway.
 #[derive(Clone, Debug)]
 pub struct ServiceMove {
     order: MoveOrder,
+    exposure: MoveExposure,
+    sends: SendCounts,
     /// When this gateway received the order.
     received_at: Instant,
     status: MoveStatus,
@@ -111,6 +166,8 @@
     pub fn new(order: MoveOrder, now: Instant) -> ServiceMove {
         ServiceMove {
             order,
+            exposure: MoveExposure::default(),
+            sends: SendCounts::default(),
             received_at: now,
             status: MoveStatus::Running,
             is_stored: false,
@@ -119,13 +176,23 @@
         }
     }
 
-    /// Returns which versions may serve a request.
-    pub fn version_choice(&self, request_id: &str) -> VersionChoice {
+    /// Sets how many requests a bad target may get.
+    pub fn with_exposure(mut self, exposure: MoveExposure) -> ServiceMove {
+        self.exposure = exposure;
+        self
+    }
+
+    /// Returns which versions may serve a request that arrived at `now`.
+    pub fn version_choice(
+        &self,
+        request_id: &str,
+        now: Instant,
+    ) -> VersionChoice {
         let target = self.order.target.clone();
         let takes_target = match self.status {
             MoveStatus::Running => MoveState::routes_to_new(
                 self.order.number,
-                CANARY_PERCENT,
+                self.canary_percent(now),
                 request_id,
             ),
             MoveStatus::Completed => true,
@@ -137,6 +204,28 @@
         VersionChoice { required: None, avoided: Some(target) }
     }
 
+    /// Returns the share of the requests that the target gets at `now`, in
+    /// percent.
+    ///
+    /// The canary share of a small service is too few requests to judge by.
+    /// So the target gets extra requests, spread over the duration.
+    fn canary_percent(&self, now: Instant) -> u32 {
+        let elapsed = now.saturating_duration_since(self.received_at);
+        let elapsed_part =
+            elapsed.as_secs_f64() / self.order.duration.as_secs_f64();
+        let extra =
+            self.exposure.extra_requests * EXTRA_PART * elapsed_part.min(1.0);
+        let SendCounts { target, all } = self.sends;
+        let allowed = all as f64 * self.exposure.canary_share() + extra;
+        if target as f64 <= allowed { MAX_CANARY_PERCENT } else { 0 }
+    }
+
+    /// Records that a request is sent to a version.
+    pub fn record_send(&mut self, version: &str) {
+        self.sends.all += 1;
+        self.sends.target += u64::from(version == self.order.target);
+    }
+
     /// Records how a version served a request.
     pub fn record_request(
         &mut self,
@@ -189,16 +278,18 @@
         }
         let sum = self.combined_tally();
         let elapsed = now.saturating_duration_since(self.received_at);
-        let is_past = |percent| elapsed >= self.order.duration * percent / 100;
+        let is_past = |part| elapsed >= self.order.duration.mul_f64(part);
+        let decide_part = self.exposure.decide_part();
+        let standby_part = self.exposure.standby_part();
         let is_due = match role {
             MoveRole::Reporter => false,
-            MoveRole::Standby => is_past(STANDBY_PERCENT),
+            MoveRole::Standby => is_past(standby_part),
             // With few requests, the primary waits for more evidence, but
             // no longer than the standbys.
             MoveRole::Primary if sum.has_enough_requests() => {
-                is_past(DECIDE_PERCENT)
+                is_past(decide_part)
             }
-            MoveRole::Primary => is_past(STANDBY_PERCENT),
+            MoveRole::Primary => is_past(standby_part),
         };
         if !is_due {
             return None;
@@ -240,9 +331,10 @@
     /// Returns the time until the next point at which a running move may be
     /// completed.
     fn time_until_due(&self, now: Instant) -> Option<Duration> {
-        let percents = [DECIDE_PERCENT, STANDBY_PERCENT];
-        let dues =
-            percents.map(|p| self.received_at + self.order.duration * p / 100);
+        let parts =
+            [self.exposure.decide_part(), self.exposure.standby_part()];
+        let dues = parts
+            .map(|part| self.received_at + self.order.duration.mul_f64(part));
         let due = dues.into_iter().find(|due| *due > now)?;
         (self.status == MoveStatus::Running).then(|| due - now)
     }
@@ -413,7 +505,14 @@
             "version move ordered"
         );
         let service = order.service.clone();
-        moves.insert(service, ServiceMove::new(order, Instant::now()));
+        // Before the list of gateways is known, none are counted.
+        let gateways = match self.directory.entry_count() {
+            0 => self.entry_width(),
+            count => count.min(self.entry_width()),
+        };
+        let exposure = MoveExposure::new(self.settings.moves, gateways);
+        let service_move = ServiceMove::new(order, Instant::now());
+        moves.insert(service, service_move.with_exposure(exposure));
     }
 
     /// Applies the status of a move that `from` gives as its origin.
@@ -472,10 +571,20 @@
         request_id: &str,
     ) -> VersionChoice {
         let moves = self.moves.borrow();
-        let choice = moves.get(service).map(|m| m.version_choice(request_id));
+        let service_move = moves.get(service);
+        let choice =
+            service_move.map(|m| m.version_choice(request_id, Instant::now()));
         choice.unwrap_or_default()
     }
 
+    /// Counts a request that is sent to a version of a service.
+    pub(super) fn record_version_send(&self, service: &str, version: &str) {
+        let mut moves = self.moves.borrow_mut();
+        if let Some(service_move) = moves.get_mut(service) {
+            service_move.record_send(version);
+        }
+    }
+
     /// Records how an upstream served a request as evidence for a move.
     pub(super) fn record_evidence(
         &self,
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -14,7 +14,6 @@
         catalog::{
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
         },
-        domain::HolderId,
         entry::{EntryHealth, select_entries, selection_size},
         gateway::LeavePlan,
         membership::{
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -87,6 +87,7 @@
     retention = { "limits: {request_time: 1.5s}" },
     capacity = { "capacity: 0.12" },
     partitions = { "entry_width: 5" },
+    moves = { "moves: {exposed_share: 0.08, exposed_requests: 33.5}" },
 )]
 fn a_bound_may_have_a_fraction(line: &str) {
     let text = format!("{SETTINGS}{line}\n");
--- a/tests/version_moves.rs
+++ b/tests/version_moves.rs
@@ -5,8 +5,9 @@
 
 use {
     magnoliahaven::{
+        config::MoveSettings,
         domain::HolderId,
-        gateway::{MoveRole, ServiceMove},
+        gateway::{MoveExposure, MoveRole, ServiceMove},
         moves::RequestResult,
         ports::{MoveOrder, MoveStatus},
     },
@@ -37,7 +38,8 @@
     let (mut to_new, mut bad, mut after) = (0, 0, 0);
     for number in 0..3_000_u64 {
         let now = start + Duration::from_millis(number * 4);
-        let choice = service_move.version_choice(&format!("request-{number}"));
+        let choice =
+            service_move.version_choice(&format!("request-{number}"), now);
         let is_new = choice.required.is_some();
         let version = if is_new { "v2" } else { "v1" };
         let has_turned = number > 750;
@@ -46,6 +48,7 @@
         bad += u32::from(failed);
         after += u32::from(is_new && bad > 50);
         let result = if failed { RequestResult::Error } else { ANSWERED };
+        service_move.record_send(version);
         service_move.record_request(version, "route", result);
         if let Some(status) = service_move.decide(MoveRole::Primary, now) {
             assert_eq!(status, MoveStatus::RolledBack);
@@ -57,7 +60,7 @@
     // A decision is final.
     assert!(!service_move.apply_status(MoveStatus::Completed));
     assert_eq!(
-        service_move.version_choice("any").avoided.as_deref(),
+        service_move.version_choice("any", Instant::now()).avoided.as_deref(),
         Some("v2")
     );
 }
@@ -67,8 +70,10 @@
     let start = Instant::now();
     let mut service_move = ServiceMove::new(order(12), start);
     for number in 0..600_u64 {
-        let choice = service_move.version_choice(&format!("request-{number}"));
+        let id = format!("request-{number}");
+        let choice = service_move.version_choice(&id, start);
         let version = if choice.required.is_some() { "v2" } else { "v1" };
+        service_move.record_send(version);
         service_move.record_request(version, "route", ANSWERED);
     }
     let early = start + Duration::from_secs(8);
@@ -82,7 +87,7 @@
     );
     assert!(service_move.apply_status(MoveStatus::Completed));
     assert_eq!(
-        service_move.version_choice("any").required.as_deref(),
+        service_move.version_choice("any", Instant::now()).required.as_deref(),
         Some("v2")
     );
 }
@@ -126,13 +131,15 @@
             let chosen = random.random_range(0..GATEWAYS);
             let service_move = &mut moves[chosen];
             let id = format!("request-{seed}-{number}");
-            let is_new = service_move.version_choice(&id).required.is_some();
+            let is_new =
+                service_move.version_choice(&id, now).required.is_some();
             let version = if is_new { "v2" } else { "v1" };
             let spread: f64 = random.random_range(0.4..1.6);
             let first = if is_new { slowness.sqrt() } else { 1.0 };
             let first_us = 900_000.0 * first * spread;
             let latency_us = Some(first_us as u64);
             let result = RequestResult::Answered { latency_us };
+            service_move.record_send(version);
             service_move.record_request(version, "route", result);
             let pace = if is_new { slowness } else { 1.0 };
             let pace_us = 35_000.0 * pace * random.random_range(0.7..1.3);
@@ -165,8 +172,9 @@
     for number in 0..15_000_u64 {
         let now = start + Duration::from_millis(number);
         let id = format!("request-{number}");
-        let is_new = service_move.version_choice(&id).required.is_some();
+        let is_new = service_move.version_choice(&id, now).required.is_some();
         let version = if is_new { "v2" } else { "v1" };
+        service_move.record_send(version);
         service_move.record_request(version, "route", ANSWERED);
         to_new += u64::from(is_new);
         if number % 300 > 0 {
@@ -177,7 +185,7 @@
         }
     }
     assert_eq!(
-        service_move.version_choice("any").required.as_deref(),
+        service_move.version_choice("any", Instant::now()).required.as_deref(),
         Some("v2")
     );
     assert!(to_new <= 1_500, "{to_new} of 15,000 requests");
@@ -193,7 +201,7 @@
     assert!(service_move.apply_stored_status(MoveStatus::Completed));
     assert!(!service_move.apply_stored_status(MoveStatus::Completed));
     assert_eq!(
-        service_move.version_choice("any").required.as_deref(),
+        service_move.version_choice("any", Instant::now()).required.as_deref(),
         Some("v2")
     );
 }
@@ -254,16 +262,21 @@
     const GATEWAYS: usize = 5;
     let start = Instant::now();
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut moves = vec![ServiceMove::new(order(18), start); GATEWAYS];
+    let settings = MoveSettings { exposed_share: 0.1, exposed_requests: 50.0 };
+    let exposure = MoveExposure::new(settings, GATEWAYS);
+    let service_move =
+        ServiceMove::new(order(18), start).with_exposure(exposure);
+    let mut moves = vec![service_move; GATEWAYS];
     for number in 0..738_u64 {
         let now = start + Duration::from_micros(number * 24_390);
         let service_move = &mut moves[random.random_range(0..GATEWAYS)];
         let id = format!("request-{seed}-{number}");
-        let is_new = service_move.version_choice(&id).required.is_some();
+        let is_new = service_move.version_choice(&id, now).required.is_some();
         let (version, quality) =
             if is_new { ("v2", new) } else { ("v1", old) };
         let route = if number % 7 < 5 { "write" } else { "read" };
         let result = quality.draw(&mut random);
+        service_move.record_send(version);
         service_move.record_request(version, route, result);
         if number % 12 > 0 {
             continue;
@@ -312,6 +325,50 @@
     }
 }
 
+/// A completed version gets no more than what is allowed of a bad one, also
+/// where the canary gets extra requests and the load of the gateways is
+/// uneven.
+#[yare::parameterized(
+    small = { 200, 0.1, 50.0 },
+    medium = { 738, 0.1, 50.0 },
+    large = { 9_000, 0.1, 50.0 },
+    strict = { 9_000, 0.05, 10.0 },
+)]
+fn a_canary_stays_within_the_allowed_exposure(
+    requests: u64,
+    share: f64,
+    extra: f64,
+) {
+    const GATEWAYS: usize = 5;
+    let start = Instant::now();
+    let settings =
+        MoveSettings { exposed_share: share, exposed_requests: extra };
+    let exposure = MoveExposure::new(settings, GATEWAYS);
+    let service_move =
+        ServiceMove::new(order(18), start).with_exposure(exposure);
+    let mut moves = vec![service_move; GATEWAYS];
+    let mut random = SmallRng::seed_from_u64(requests);
+    let mut to_new = 0_u64;
+    for number in 0..requests {
+        let now = start
+            + Duration::from_secs(18).mul_f64(number as f64 / requests as f64);
+        // Half of the requests go to the first gateway.
+        let chosen = random.random_range(0..GATEWAYS * 2) % (GATEWAYS + 1);
+        let service_move = &mut moves[chosen % GATEWAYS];
+        let id = format!("request-{number}");
+        let is_new = service_move.version_choice(&id, now).required.is_some();
+        to_new += u64::from(is_new);
+        let version = if is_new { "v2" } else { "v1" };
+        service_move.record_send(version);
+        service_move.record_request(version, "route", ANSWERED);
+    }
+    let completed = 1.0 - (1.0 - 0.6) * share;
+    let rest = requests as f64 * (1.0 - completed);
+    let allowed = requests as f64 * share + extra;
+    let exposed = to_new as f64 + rest;
+    assert!(exposed <= allowed, "{exposed} of {allowed}");
+}
+
 /// The same traffic with a version that is as good as the old one.
 #[yare::parameterized(
     calm = { VersionQuality { errors: 0.04, ..VersionQuality::default() } },
