A rare route that fails on both versions condemns neither

Cause: with fewer than 20 requests of the old version the verdict did not look at how those ended.

Change: it fails the new version only if no more than half of the old one's failed.

Measured: a_rare_route_that_fails_on_both_versions_condemns_neither failed before and holds.

--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -44,7 +44,8 @@
 };
 
 /// Minimum number of failures for a verdict without enough requests of the
-/// old version, if more than half of the requests of the new one failed.
+/// old version, if more than half of the requests of the new one failed and
+/// no more than half of the few of the old one.
 const MIN_FAILURES_WITHOUT_BASELINE: u64 = 6;
 
 /// Minimum number of requests of a version for a comparison.
@@ -441,10 +442,12 @@
         )
     };
     if old.requests < MIN_REQUESTS {
-        let rate = failures as f64 / new.requests.max(1) as f64;
-        let fails_alone =
-            failures >= MIN_FAILURES_WITHOUT_BASELINE && rate > 0.5;
-        return fails_alone.then(reason);
+        let fails_mostly = failures * 2 > new.requests;
+        let is_alone = old_failures * 2 <= old.requests;
+        let is_worse = failures >= MIN_FAILURES_WITHOUT_BASELINE
+            && fails_mostly
+            && is_alone;
+        return is_worse.then(reason);
     }
     // One failure is added to both counts, because a few requests without
     // failures do not show a failure rate of zero.
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -142,3 +142,18 @@
     assert_eq!(detected, SIMULATIONS);
     assert!(naive < detected);
 }
+
+/// Every request of a rare route fails, whichever version serves it. A good
+/// version was rolled back for it.
+#[test]
+fn a_rare_route_that_fails_on_both_versions_condemns_neither() {
+    let mut tally = MoveEvidence::default();
+    for _ in 0..16 {
+        tally.old.record("rare", RequestResult::TimedOut);
+    }
+    for _ in 0..6 {
+        tally.new.record("rare", RequestResult::TimedOut);
+    }
+    assert_eq!(tally.verdict(), Verdict::Pass);
+    assert_eq!(tally.advance_verdict(), Verdict::Pass);
+}
