A router's share of a version grows only if it is probably not worse

Change: `MovePlan` looks at the evidence, and a step waits for `advance_verdict`; at the deadline the move is undone.

Measured: the_share_of_a_version_that_is_probably_bad_does_not_grow, 7 of 40 requests failed beside 6 of 300: the share grew before, and does not now.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -305,7 +305,7 @@
                 sum.add(tally);
             }
             black_box(sum.verdict());
-            black_box(plan.next_step(&state, 100, 1_000));
+            black_box(plan.next_step(&state, &sum, 1_000));
         },
         || {
             black_box(black_box(1_000) >= state.start.deadline_ms);
--- a/src/moves/plan.rs
+++ b/src/moves/plan.rs
@@ -1,6 +1,6 @@
 //! The schedule of the steps of a move.
 
-use super::{MoveState, MoveStep};
+use super::{MoveEvidence, MoveState, MoveStep, Verdict};
 
 /// Shares of the new version after the canary step, in percent.
 const RAMP_SHARES: [u32; 2] = [25, 50];
@@ -31,15 +31,16 @@
 
     /// Returns the next step and its share, if it is due.
     ///
-    /// `requests` is the number of requests of the new version in the
-    /// evidence of the whole move, not of the step. A version without requests
-    /// advances by time alone, because there is nothing to compare.
+    /// `evidence` is that of the whole move, not of the step. A version
+    /// without requests advances by time alone, because there is nothing to
+    /// compare. One that is probably bad does not advance, and is rolled back
+    /// at the deadline at the latest.
     ///
     /// # Example
     ///
     /// ```
     /// use magnoliahaven::moves::{
-    ///     MovePlan, MoveStartRecord, MoveState, MoveStep,
+    ///     MoveEvidence, MovePlan, MoveStartRecord, MoveState, MoveStep,
     /// };
     ///
     /// let start = MoveStartRecord {
@@ -51,12 +52,14 @@
     /// };
     /// let state = MoveState::new(start, 0);
     /// let plan = MovePlan::new(5);
-    /// assert_eq!(plan.next_step(&state, 0, 0), Some((MoveStep::Canary, 5)));
+    /// let evidence = MoveEvidence::default();
+    /// let next = plan.next_step(&state, &evidence, 0);
+    /// assert_eq!(next, Some((MoveStep::Canary, 5)));
     /// ```
     pub fn next_step(
         &self,
         state: &MoveState,
-        requests: u64,
+        evidence: &MoveEvidence,
         now_ms: u64,
     ) -> Option<(MoveStep, u32)> {
         if !state.is_active() {
@@ -67,11 +70,14 @@
         }
         let total = state.start.deadline_ms.saturating_sub(state.start_ms);
         let elapsed = now_ms.saturating_sub(state.step_ms);
-        let early = requests >= EARLY_STEP_REQUESTS;
+        let early = evidence.new.requests() >= EARLY_STEP_REQUESTS;
         let divisor = if early { MIN_STEP_DIVISOR } else { MAX_STEP_DIVISOR };
         if elapsed < total / divisor {
             return None;
         }
+        if evidence.advance_verdict() != Verdict::Pass {
+            return None;
+        }
         for share in RAMP_SHARES {
             if share > state.share {
                 return Some((MoveStep::Ramping, share));
--- a/src/router/moves.rs
+++ b/src/router/moves.rs
@@ -316,7 +316,7 @@
     let canary = core.preset().map_or(1, |preset| preset.canary_percent);
     let plan = MovePlan::new(canary);
     let requests = sum.new.requests();
-    let (next, share) = plan.next_step(known, requests, now_ms)?;
+    let (next, share) = plan.next_step(known, &sum, now_ms)?;
     if !core.has_live_worker(&known.start.service, &known.start.to) {
         return None;
     }
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -7,7 +7,10 @@
 //! independent of the version.
 
 use {
-    magnoliahaven::moves::{MoveEvidence, RequestResult, Verdict},
+    magnoliahaven::moves::{
+        MoveEvidence, MovePlan, MoveStartRecord, MoveState, MoveStep,
+        RequestResult, Verdict,
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
@@ -157,3 +160,39 @@
     assert_eq!(tally.verdict(), Verdict::Pass);
     assert_eq!(tally.advance_verdict(), Verdict::Pass);
 }
+
+/// The share of a version grew by time alone unless it was proved bad.
+#[yare::parameterized(
+    sound = { 1, Some((MoveStep::Ramping, 25)) },
+    probably_bad = { 7, None },
+)]
+fn the_share_of_a_version_that_is_probably_bad_does_not_grow(
+    failures: u64,
+    expected: Option<(MoveStep, u32)>,
+) {
+    let start = MoveStartRecord {
+        service: "chat".to_owned(),
+        from: "v1".to_owned(),
+        to: "v2".to_owned(),
+        deadline_ms: 60_000,
+        who: "ana".to_owned(),
+    };
+    let mut state = MoveState::new(start, 0);
+    state.step = MoveStep::Canary;
+    state.share = 5;
+    let mut tally = MoveEvidence::default();
+    let answered = RequestResult::Answered { latency_us: Some(80_000) };
+    for number in 0..300 {
+        let is_error = number % 50 == 0;
+        let result = if is_error { RequestResult::Error } else { answered };
+        tally.old.record("route", result);
+    }
+    for number in 0..40 {
+        let is_error = number < failures;
+        let result = if is_error { RequestResult::Error } else { answered };
+        tally.new.record("route", result);
+    }
+    assert_eq!(tally.verdict(), Verdict::Pass);
+    let plan = MovePlan::new(5);
+    assert_eq!(plan.next_step(&state, &tally, 30_000), expected);
+}
