Lost upstreams are logged with the prompt parts of their requests

`parts_suspected` names the upstream and the parts of the prompt that other requests may share, one line for each request whose upstream was lost before the first event of its answer, with a count in `magnolia_events_total`. No decision changes.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -360,6 +360,7 @@
                 self.handle_refusal(kind, true)
             }
             AttemptStart::Unknown(fault) => {
+                self.record_loss(&upstream, &fault);
                 self.handle_fault(attempt, upstream, &fault)
             }
             AttemptStart::Silent => {
@@ -383,6 +384,15 @@
         );
     }
 
+    /// Records that an upstream was lost before the first event of the
+    /// answer.
+    fn record_loss(&self, upstream: &str, fault: &UpstreamFault) {
+        if *fault == UpstreamFault::TimedOut {
+            return;
+        }
+        self.core.record_part_loss(self.request, upstream);
+    }
+
     /// Handles an upstream that did not run the request.
     ///
     /// A retry after a refusal is charged to the retry budget, but one after
@@ -523,6 +533,7 @@
                 if fault != UpstreamFault::TimedOut {
                     attempt.record_outcome(UpstreamOutcome::Lost);
                 }
+                self.record_loss(&upstream, &fault);
                 return self.handle_fault(attempt, upstream, &fault);
             }
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! * `leave` decides which requests are accepted during a shutdown
 //!   ([`LeavePlan`]).
 //! * `moves` moves a service to another version ([`ServiceMove`]).
+//! * `parts` records prompt parts that upstreams are lost on.
 //! * `peers` answers other routers.
 //! * `process` starts and stops the process ([`GatewayProcess`]).
 
@@ -34,6 +35,7 @@
 mod follow;
 mod leave;
 mod moves;
+mod parts;
 mod patience;
 mod peers;
 mod process;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -98,11 +98,19 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the identifiers of the shared parts.
+    pub fn shared_part_ids(&self) -> impl Iterator<Item = &str> + Clone {
+        self.shared_parts().iter().map(|part| part.id.as_str())
+    }
+
     /// Returns the size of the shared parts in tokens.
     pub fn shared_tokens(&self) -> u64 {
-        let shared =
-            self.prompt_parts.split_last().map_or(&[][..], |(_, s)| s);
-        shared.iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Returns the identifier of the first part if it is shared.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -81,6 +81,9 @@
     ];
     /// An upstream did not serve a request.
     AttemptFailed = "attempt_failed" ["request_id", "upstream"];
+    /// An upstream was lost before the first event of an answer, on a request
+    /// with these parts in its prompt.
+    PartsSuspected = "parts_suspected" ["request_id", "upstream", "parts"];
     /// An answer to another request came first and was skipped.
     AnswerSkipped = "answer_skipped" ["request_id", "upstream"];
     /// An upstream is not used for a time.
