Parts of prompts that crash upstreams are quarantined on all gateways

Cause: a request whose upstream crashed was sent again and crashed the next one, and nothing linked such requests over the gateways. It is the class of the query of death: work that ends its server is handed to the next server.

Change: `PartQuarantine` counts crashes before the first event of an answer by part.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -9,9 +9,10 @@
         ports::{
             ClaimReply, ClaimRequest, DeclaredState, EvidenceReport,
             KnownState, LendReply, LendRequest, MemberStatus, MemberUpdate,
-            NewerState, PingMessage, RelayBatch, RelayedBill,
+            NewerState, PartReport, PingMessage, RelayBatch, RelayedBill,
             UpstreamDeparture,
         },
+        routing::QuarantinedPart,
     },
 };
 
@@ -210,6 +211,42 @@
     }
 }
 
+impl From<PartReport> for wire::PartsCall {
+    fn from(report: PartReport) -> wire::PartsCall {
+        let PartReport { lost, answered } = report;
+        wire::PartsCall { lost, answered }
+    }
+}
+
+impl From<wire::PartsCall> for PartReport {
+    fn from(call: wire::PartsCall) -> PartReport {
+        let wire::PartsCall { lost, answered } = call;
+        PartReport { lost, answered }
+    }
+}
+
+impl From<Vec<QuarantinedPart>> for wire::PartsAnswer {
+    fn from(parts: Vec<QuarantinedPart>) -> wire::PartsAnswer {
+        let parts = parts.into_iter().map(|quarantined| {
+            let QuarantinedPart { part, time_left } = quarantined;
+            let left_ms = time_left.as_millis() as u64;
+            wire::QuarantinedPart { part, left_ms }
+        });
+        wire::PartsAnswer { quarantined: parts.collect() }
+    }
+}
+
+impl From<wire::PartsAnswer> for Vec<QuarantinedPart> {
+    fn from(answer: wire::PartsAnswer) -> Vec<QuarantinedPart> {
+        let parts = answer.quarantined.into_iter().map(|quarantined| {
+            let wire::QuarantinedPart { part, left_ms } = quarantined;
+            let time_left = Duration::from_millis(left_ms);
+            QuarantinedPart { part, time_left }
+        });
+        parts.collect()
+    }
+}
+
 impl From<ClaimRequest> for wire::ClaimCall {
     fn from(request: ClaimRequest) -> wire::ClaimCall {
         wire::ClaimCall {
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -177,6 +177,28 @@
     #[prost(string, tag = "3")]
     pub upstream: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartsCall {
+    /// Parts of a request whose upstream was lost before it answered.
+    #[prost(string, repeated, tag = "1")]
+    pub lost: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Parts that were suspected and have been answered.
+    #[prost(string, repeated, tag = "2")]
+    pub answered: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PartsAnswer {
+    #[prost(message, repeated, tag = "1")]
+    pub quarantined: ::prost::alloc::vec::Vec<QuarantinedPart>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuarantinedPart {
+    #[prost(string, tag = "1")]
+    pub part: ::prost::alloc::string::String,
+    /// Time until a request with the part is tried again, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -477,6 +499,30 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Claim"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reports prompt parts that upstreams were lost on or have answered, and
+        /// asks which parts are in quarantine.
+        pub async fn parts(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PartsCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::PartsAnswer>,
+            tonic::Status,
+        > {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!(
+                    "Service was not ready: {}",
+                    e.into()
+                ))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/magnolia.peer.Peer/Parts",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("magnolia.peer.Peer", "Parts"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -555,6 +601,15 @@
             tonic::Response<super::ClaimAnswer>,
             tonic::Status,
         >;
+        /// Reports prompt parts that upstreams were lost on or have answered, and
+        /// asks which parts are in quarantine.
+        async fn parts(
+            &self,
+            request: tonic::Request<super::PartsCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::PartsAnswer>,
+            tonic::Status,
+        >;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1064,6 +1119,52 @@
                     };
                     Box::pin(fut)
                 }
+                "/magnolia.peer.Peer/Parts" => {
+                    #[allow(non_camel_case_types)]
+                    struct PartsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::PartsCall> for PartsSvc<T> {
+                        type Response = super::PartsAnswer;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PartsCall>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::parts(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings =
+                        self.accept_compression_encodings;
+                    let send_compression_encodings =
+                        self.send_compression_encodings;
+                    let max_decoding_message_size =
+                        self.max_decoding_message_size;
+                    let max_encoding_message_size =
+                        self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PartsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response =
                         http::Response::new(tonic::body::Body::default());
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -259,6 +259,10 @@
             let answer = client.declared(call).await?;
             PeerAnswer::Declared(answer.into_inner().into())
         }
+        PeerCall::Parts(report) => {
+            let answer = client.parts(wire::PartsCall::from(report)).await?;
+            PeerAnswer::Quarantined(answer.into_inner().into())
+        }
         PeerCall::Claim(request) => {
             let call = wire::ClaimCall::from(request);
             PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
@@ -399,6 +403,17 @@
         }
     }
 
+    async fn parts(
+        &self,
+        request: Request<wire::PartsCall>,
+    ) -> Result<Response<wire::PartsAnswer>, Status> {
+        let call = PeerCall::Parts(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Quarantined(parts) => Ok(Response::new(parts.into())),
+            _ => unexpected_answer(),
+        }
+    }
+
     async fn claim(
         &self,
         request: Request<wire::ClaimCall>,
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -120,6 +120,8 @@
         "The request needs the log service, which is unreachable.";
     BudgetUnavailable, "budget_unavailable", 503, No, Some(1),
         "The router cannot obtain tokens of the budget at the moment.";
+    Quarantined, "quarantined", 503, No, Some(60),
+        "Requests with a part of the prompt crash upstreams.";
     NotReady, "not_ready", 503, No, Some(1),
         "The router has not loaded a configuration yet.";
     Leaving, "leaving", 503, No, Some(1),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -133,7 +133,7 @@
     /// In that case the request stays at the current upstream. A timeout
     /// alone does not fail a request.
     pub(super) fn try_reroute(&mut self) -> bool {
-        if !self.may_retry {
+        if !self.may_retry || self.core.is_quarantined(self.request) {
             return false;
         }
         let mut excluded = self.excluded.clone();
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -24,8 +24,8 @@
     },
     process::ProcessCore,
     routing::{
-        AdmitRequest, AssignedUpstream, PlacementHint, RetryBudget,
-        UpstreamTable,
+        AdmitRequest, AssignedUpstream, PartQuarantine, PlacementHint,
+        RetryBudget, UpstreamTable,
     },
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
@@ -144,6 +144,8 @@
     pub(super) roster: RefCell<UpstreamRoster>,
     /// Tracks when the registries were unreachable.
     pub(super) outage: RefCell<OutageTracker>,
+    /// The prompt parts that upstreams were lost on.
+    pub(super) quarantine: RefCell<PartQuarantine>,
     pub(super) latencies: RefCell<LatencyEstimator>,
     pub(super) retry_budgets: RefCell<BTreeMap<String, RetryBudget>>,
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -241,6 +241,9 @@
     }
 
     async fn run(mut self, responder: &mut HttpResponder) -> CallEnd {
+        if let Err(error) = self.core.reject_if_quarantined(self.request) {
+            return CallEnd::Failed(error);
+        }
         let hold = match self.reserve().await {
             Ok(hold) => hold,
             Err(error) => {
@@ -305,6 +308,7 @@
         request.route.kind.is_retryable()
             && self.progress.sends.get() < request.route.max_attempts
             && left > MIN_RETRY_TIME
+            && !self.core.is_quarantined(request)
     }
 
     /// Sends the request to the upstream of `slot` and handles the result.
@@ -360,7 +364,7 @@
                 self.handle_refusal(kind, true)
             }
             AttemptStart::Unknown(fault) => {
-                self.record_loss(&upstream, &fault);
+                self.record_loss(attempt.slot.upstream(), &fault).await;
                 self.handle_fault(attempt, upstream, &fault)
             }
             AttemptStart::Silent => {
@@ -386,11 +390,14 @@
 
     /// Records that an upstream was lost before the first event of the
     /// answer.
-    fn record_loss(&self, upstream: &str, fault: &UpstreamFault) {
-        if *fault == UpstreamFault::TimedOut {
-            return;
+    async fn record_loss(
+        &self,
+        upstream: &AssignedUpstream,
+        fault: &UpstreamFault,
+    ) {
+        if *fault != UpstreamFault::TimedOut {
+            self.core.record_part_loss(self.request, upstream).await;
         }
-        self.core.record_part_loss(self.request, upstream);
     }
 
     /// Handles an upstream that did not run the request.
@@ -471,9 +478,11 @@
             Ok(body) => body,
             Err(fault) => {
                 attempt.record_outcome(UpstreamOutcome::Lost);
+                self.record_loss(attempt.slot.upstream(), &fault).await;
                 return self.handle_fault(attempt, upstream, &fault);
             }
         };
+        self.core.record_part_answer(request);
         if status.is_server_error() {
             attempt.record_outcome(UpstreamOutcome::Failed);
             self.log_failed_attempt(&upstream, status.as_str());
@@ -533,12 +542,13 @@
                 if fault != UpstreamFault::TimedOut {
                     attempt.record_outcome(UpstreamOutcome::Lost);
                 }
-                self.record_loss(&upstream, &fault);
+                self.record_loss(attempt.slot.upstream(), &fault).await;
                 return self.handle_fault(attempt, upstream, &fault);
             }
         };
         if has_event {
             attempt.record_answer();
+            self.core.record_part_answer(request);
             let account = request.account_name();
             let took = request.arrived_at.elapsed();
             if self.progress.answered_after.get().is_zero() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! * `leave` decides which requests are accepted during a shutdown
 //!   ([`LeavePlan`]).
 //! * `moves` moves a service to another version ([`ServiceMove`]).
-//! * `parts` records prompt parts that upstreams are lost on.
+//! * `parts` rejects requests with prompt parts that crash upstreams.
 //! * `peers` answers other routers.
 //! * `process` starts and stops the process ([`GatewayProcess`]).
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -39,6 +39,7 @@
                         self.declarations.borrow().state(now, text_after);
                     PeerAnswer::Declared(state)
                 }
+                PeerCall::Parts(report) => self.apply_part_report(&report),
                 // Gateways exchange no bills, control records or claims.
                 PeerCall::Relay(_)
                 | PeerCall::CatchUp(_)
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -10,7 +10,7 @@
 use super::{
     DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
     entry::{self, ListenerRole},
-    follow, moves,
+    follow, moves, parts,
 };
 use crate::{
     adapters::peer::PeerThread,
@@ -23,7 +23,7 @@
         Leaving, ProcessChannels, ServerProcess, Serving, StartFault,
         Starting, bind_exclusive, listen, new_holder_id,
     },
-    routing::UpstreamTable,
+    routing::{PartQuarantine, UpstreamTable},
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
@@ -70,6 +70,7 @@
         monoio::spawn(follow::run_upstreams(core.clone()));
         monoio::spawn(follow::run_vm_list(core.clone()));
         monoio::spawn(moves::run_moves(core.clone()));
+        monoio::spawn(parts::run_exchange(core.clone()));
         monoio::spawn(core.keeper.clone().run());
         monoio::spawn(core.keeper.clone().run_loan_recovery());
         Ok(self.into_serving(callers))
@@ -163,6 +164,7 @@
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageTracker::new()),
+        quarantine: RefCell::new(PartQuarantine::new()),
         latencies: RefCell::new(LatencyEstimator::new()),
         retry_budgets: RefCell::default(),
     }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -47,8 +47,8 @@
     peer::{
         ClaimReply, ClaimRequest, DeclaredState, EvidenceReport, KnownState,
         LendReply, LendRequest, MemberStatus, MemberUpdate, NewerState,
-        PeerAnswer, PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage,
-        RelayBatch, RelayedBill, UpstreamDeparture,
+        PartReport, PeerAnswer, PeerCall, PeerFault, PeerHandler, PeerPort,
+        PingMessage, RelayBatch, RelayedBill, UpstreamDeparture,
     },
     upstream::{
         UpstreamBody, UpstreamCall, UpstreamConnection, UpstreamFault,
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -6,7 +6,10 @@
 
 use {
     super::PortFuture,
-    crate::domain::{BillId, HolderId, PortionId},
+    crate::{
+        domain::{BillId, HolderId, PortionId},
+        routing::QuarantinedPart,
+    },
 };
 
 /// An error of a call to a peer.
@@ -166,6 +169,15 @@
     pub started_ms: u64,
 }
 
+/// What a router has seen of requests with certain prompt parts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartReport {
+    /// Parts of a request whose upstream was lost before it answered.
+    pub lost: Vec<String>,
+    /// Parts that were suspected and have been answered.
+    pub answered: Vec<String>,
+}
+
 /// Claims an idempotency key for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
@@ -217,6 +229,8 @@
         /// `None` asks for no text.
         text_after: Option<u64>,
     },
+    /// Reports on prompt parts and asks which ones are in quarantine.
+    Parts(PartReport),
     /// Claims an idempotency key for a request.
     Claim(ClaimRequest),
 }
@@ -238,6 +252,8 @@
     Departed(Vec<UpstreamDeparture>),
     /// The declarations that the peer applies, if it has any.
     Declared(Option<DeclaredState>),
+    /// The prompt parts that are in quarantine.
+    Quarantined(Vec<QuarantinedPart>),
     /// The first claim of the key.
     Claimed(ClaimReply),
 }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -32,6 +32,8 @@
                 // to report.
                 PeerCall::Declared { .. } => PeerAnswer::Declared(None),
                 PeerCall::Departures => PeerAnswer::Departed(Vec::new()),
+                // Routers do not know the parts of prompts.
+                PeerCall::Parts(_) => PeerAnswer::Quarantined(Vec::new()),
                 PeerCall::Claim(request) => {
                     let claim = self.claims.borrow_mut().claim(&request);
                     PeerAnswer::Claimed(claim)
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,7 @@
 //! * [`placement_rank`] weighs load, cached prefixes, slowness and failure
 //!   domains.
 //! * [`UpstreamHealth`] ejects upstreams whose requests fail.
+//! * [`PartQuarantine`] finds prompt parts that crash upstreams.
 //! * [`RetryBudget`] limits retries to a small fraction of the traffic.
 //!
 //! `docs/design/routing.md` has the calculations for a deployment of the
@@ -19,6 +20,7 @@
 mod affinity;
 mod health;
 mod placement;
+mod quarantine;
 mod queue;
 mod retry;
 mod subset;
@@ -30,6 +32,7 @@
     placement::{
         PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
     },
+    quarantine::{LossObserver, PartQuarantine, QuarantinedPart},
     queue::{AdmissionQueue, QueuedRequest},
     retry::RetryBudget,
     subset::{SubsetPlan, UpstreamShare, upstream_shares},
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -84,6 +84,11 @@
     /// An upstream was lost before the first event of an answer, on a request
     /// with these parts in its prompt.
     PartsSuspected = "parts_suspected" ["request_id", "upstream", "parts"];
+    /// Parts that were suspected have been answered.
+    PartsCleared = "parts_cleared" ["request_id", "parts"];
+    /// Requests with the part are rejected for a time, because they crash
+    /// upstreams.
+    PartQuarantined = "part_quarantined" ["part", "for_ms", "from"];
     /// An answer to another request came first and was skipped.
     AnswerSkipped = "answer_skipped" ["request_id", "upstream"];
     /// An upstream is not used for a time.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -49,6 +49,8 @@
     pub entry_vms: IntGauge,
     /// Claims on tokens that were not granted in full.
     pub claims_cut: IntCounter,
+    /// Prompt parts in quarantine.
+    pub quarantined_parts: IntGauge,
     /// Whether the store of prepaid tokens answers.
     pub store_reachable: IntGauge,
 }
@@ -140,6 +142,10 @@
                 "Claims on tokens that were not granted in full.",
             )
             .expect("valid counter"),
+            quarantined_parts: gauge(
+                "magnolia_quarantined_parts",
+                "Prompt parts whose requests are rejected.",
+            ),
             store_reachable: gauge(
                 "magnolia_store_reachable",
                 "1 while the store of prepaid tokens answers.",
@@ -167,6 +173,7 @@
             Box::new(self.upstreams_doubted.clone()),
             Box::new(self.list_read_at.clone()),
             Box::new(self.claims_cut.clone()),
+            Box::new(self.quarantined_parts.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
