A stream that ends inside an event is broken, also for a slow reader

Cause: while a write to a slow caller was under way, the relay read ahead. If a whole event and part of the next one were in its buffer when the upstream ended the stream, the part was dropped and the stream ended as complete.

Change: a stream has ended only if nothing is left behind its last event.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -180,6 +180,9 @@
                     Err(fault) => return RelayEnd::Broken(fault),
                 }
             }
+            if self.ended && self.scanner.has_partial() {
+                return RelayEnd::Broken(cut_event_fault());
+            }
             if self.ended {
                 return match responder.end_stream().await {
                     Ok(()) => RelayEnd::Complete,
@@ -291,8 +294,7 @@
         let chunk = body.next_chunk(deadline).await?;
         let Some(chunk) = chunk else {
             if self.scanner.has_partial() && !self.scanner.has_event() {
-                let reason = "the stream ended inside an event";
-                return Err(UpstreamFault::broken(reason));
+                return Err(cut_event_fault());
             }
             self.ended = true;
             return Ok(());
@@ -306,3 +308,8 @@
         Ok(())
     }
 }
+
+/// Returns the fault of a stream that ended inside an event.
+fn cut_event_fault() -> UpstreamFault {
+    UpstreamFault::broken("the stream ended inside an event")
+}
