An upstream that says in an answer that it leaves gets nothing new

Change: such an answer marks the upstream as leaving for the incarnation that sent it, also if a registration says `ready` afterwards, and gateways that cannot read the list learn of it.

Measured: a_worker_that_says_that_it_leaves_gets_nothing_new failed for each of its three kinds of request before and holds.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,6 +120,9 @@
                 return AttemptStart::Unknown(fault);
             }
         };
+        if reply.is_leaving {
+            self.core.record_leaving(self.slot.upstream());
+        }
         if reply.verdict != ForwardVerdict::Ran {
             return AttemptStart::Refused(reply.verdict);
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,7 @@
 use crate::{
     membership::RosterChange,
     ports::{PeerAnswer, PeerCall, UpstreamEvent, VmList},
+    routing::AssignedUpstream,
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -195,6 +196,23 @@
         }
     }
 
+    /// Records that an upstream has said in an answer that it leaves.
+    pub(super) fn record_leaving(&self, upstream: &AssignedUpstream) {
+        let now = Instant::now();
+        let mut roster = self.roster.borrow_mut();
+        let was_in_use = roster.announce_departure(&upstream.vm, now);
+        drop(roster);
+        if !was_in_use {
+            return;
+        }
+        log::info!(
+            event:% = LogEvent::UpstreamDeparted,
+            upstream = upstream.vm.as_str(), peer = "answer";
+            "upstream leaves, as its answer says"
+        );
+        self.refresh_upstreams();
+    }
+
     /// Applies a list of entry VMs if it is newer than version `since`, and
     /// drops retained VMs that did not register again in time.
     fn apply_vm_list(&self, list: VmList, since: u64) {
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -75,6 +75,9 @@
 pub struct UpstreamRoster {
     entries: BTreeMap<String, RosterEntry>,
     versions: BTreeMap<String, EntryVersion>,
+    /// Upstreams that have said in an answer that they leave, and when they
+    /// had started. Their registrations may say otherwise for a while.
+    announced: BTreeMap<String, u64>,
     /// Upstreams that have left: when they left, and when they had started.
     departed: BTreeMap<String, (Instant, u64)>,
     read_at: Option<Instant>,
@@ -141,6 +144,26 @@
         true
     }
 
+    /// Records that an upstream has said in an answer that it leaves; returns
+    /// whether it was in use.
+    pub fn announce_departure(&mut self, id: &str, now: Instant) -> bool {
+        let Some(known) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let started_ms = known.entry.started_ms;
+        let was_in_use = !known.entry.is_leaving;
+        known.entry.is_leaving = true;
+        self.announced.insert(id.to_owned(), started_ms);
+        self.record_departure(id, started_ms, now);
+        was_in_use
+    }
+
+    /// Returns whether the upstream of an entry has said that it leaves.
+    fn has_announced(&self, entry: &UpstreamEntry) -> bool {
+        let started_ms = self.announced.get(&entry.id);
+        started_ms.is_some_and(|known| *known >= entry.started_ms)
+    }
+
     /// Records that an upstream leaves or has left.
     fn record_departure(&mut self, id: &str, started_ms: u64, now: Instant) {
         let fresh = |(at, _): &mut (Instant, u64)| {
@@ -172,7 +195,7 @@
 
     fn list(
         &mut self,
-        entry: UpstreamEntry,
+        mut entry: UpstreamEntry,
         now: Instant,
     ) -> Option<RosterChange> {
         let version = (entry.started_ms, entry.sequence);
@@ -185,6 +208,7 @@
         }
         self.versions.insert(id.clone(), version);
         self.remove_predecessors(&entry);
+        entry.is_leaving |= self.has_announced(&entry);
         if entry.is_leaving {
             self.record_departure(&id, entry.started_ms, now);
         } else {
@@ -224,6 +248,7 @@
             return Some(RosterChange::Retained { id, until });
         }
         let known = self.entries.remove(&id)?;
+        self.announced.remove(&id);
         self.record_departure(&id, known.entry.started_ms, now);
         Some(RosterChange::Changed { id })
     }
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -37,6 +37,8 @@
 pub struct ForwardReply {
     /// What the answer says about the execution of the request.
     pub verdict: ForwardVerdict,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
     /// The status code.
     pub status: StatusCode,
     /// The headers to pass on to the caller.
