An upstream that asks for a pause gets no requests for that time

A request that may use only such upstreams is refused at once, with the time until the first of them may be used; the queue is served when it ends.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -123,6 +123,9 @@
         if reply.is_leaving {
             self.core.record_leaving(self.slot.upstream());
         }
+        if let Some(time) = reply.retry_after {
+            self.core.record_backoff(self.slot.upstream(), time);
+        }
         if reply.verdict != ForwardVerdict::Ran {
             return AttemptStart::Refused(reply.verdict);
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -213,6 +213,23 @@
         self.refresh_upstreams();
     }
 
+    /// Records that an upstream wants no requests of this router for a time.
+    pub(super) fn record_backoff(
+        &self,
+        upstream: &AssignedUpstream,
+        time: Duration,
+    ) {
+        log::info!(
+            event:% = LogEvent::UpstreamBackoff,
+            upstream = upstream.vm.as_str(),
+            service = upstream.service.as_str(),
+            for_ms = time.as_millis() as u64;
+            "upstream wants no requests for a time"
+        );
+        self.metrics.note_event("upstream_backoff");
+        self.table.back_off(&upstream.vm, time);
+    }
+
     /// Applies a list of entry VMs if it is newer than version `since`, and
     /// drops retained VMs that did not register again in time.
     fn apply_vm_list(&self, list: VmList, since: u64) {
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -39,6 +39,8 @@
     pub verdict: ForwardVerdict,
     /// Whether the upstream says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the upstream wants no requests of this router.
+    pub retry_after: Option<Duration>,
     /// The status code.
     pub status: StatusCode,
     /// The headers to pass on to the caller.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -289,6 +289,23 @@
         }
     }
 
+    /// Sends an upstream no requests for `time`, as it has asked.
+    pub fn back_off(&self, vm: &str, time: Duration) {
+        let mut state = self.state.borrow_mut();
+        let Some(entry) = state.upstreams.get_mut(vm) else {
+            return;
+        };
+        let until = Instant::now() + time;
+        entry.cooldown_until = entry.cooldown_until.max(Some(until));
+        let service = entry.upstream.service.clone();
+        drop(state);
+        let table = self.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(time).await;
+            table.serve_queue(&service);
+        });
+    }
+
     /// Returns the number of requests of an account in progress.
     pub fn in_progress_of(&self, account: &str) -> usize {
         self.state.borrow().in_progress_of(account)
@@ -329,6 +346,9 @@
             {
                 return Ok(self.slot(upstream, &queued));
             }
+            if let Some(wait) = state.cooldown_left(request, &queued) {
+                return Err(state.cooling_down(request, wait));
+            }
             state.enqueue(request, queued)?
         };
         let mut place = QueuePlace {
@@ -466,6 +486,37 @@
         entries.any(|entry| entry.serves(service, queued))
     }
 
+    /// Returns the time until the first upstream may get a request, if all of
+    /// them have asked for more time than the request may wait.
+    fn cooldown_left(
+        &self,
+        request: &AdmitRequest<'_>,
+        queued: &QueuedRequest,
+    ) -> Option<Duration> {
+        let now = Instant::now();
+        let mut least: Option<Duration> = None;
+        for entry in self.upstreams.values() {
+            if !entry.serves(request.service, queued) {
+                continue;
+            }
+            let until = entry.cooldown_until?;
+            let left = until.saturating_duration_since(now);
+            least = Some(least.map_or(left, |known| known.min(left)));
+        }
+        least.filter(|left| *left > request.max_wait)
+    }
+
+    fn cooling_down(
+        &self,
+        request: &AdmitRequest<'_>,
+        wait: Duration,
+    ) -> CallError {
+        let service = request.service;
+        let message =
+            format!("all upstreams of {service} have asked for a pause");
+        CallError::new(ErrorKind::Overloaded, message).with_retry_delay(wait)
+    }
+
     /// Returns the median failure level of the other upstreams of a service.
     fn median_failure_level(
         &self,
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -95,6 +95,8 @@
     UpstreamEjected = "upstream_ejected" [
         "upstream", "service", "cause", "for_ms",
     ];
+    /// An upstream has asked to be left alone for a time.
+    UpstreamBackoff = "upstream_backoff" ["upstream", "service", "for_ms"];
     /// An upstream is used again.
     UpstreamReadmitted = "upstream_readmitted" ["upstream", "service"];
     /// A registration came, changed or went.
