--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,7 +20,8 @@
 //!   cannot be read.
 //! * `leave` decides which requests are accepted during a shutdown
 //!   ([`LeavePlan`]).
-//! * `moves` moves a service to another version ([`ServiceMove`]).
+//! * `moves` moves a service to another version ([`ServiceMove`]);
+//!   `exposure` bounds what a bad one may get ([`MoveExposure`]).
 //! * `parts` rejects requests with prompt parts that crash upstreams.
 //! * `peers` answers other routers.
 //! * `process` starts and stops the process ([`GatewayProcess`]).
@@ -32,6 +33,7 @@
 mod declared;
 mod dispatch;
 mod entry;
+mod exposure;
 mod follow;
 mod leave;
 mod moves;
@@ -46,8 +48,9 @@
     core::{GatewayCore, GatewayPorts},
     declared::{DeclarationTracker, NewerDeclaration, StaleReason},
     entry::EntryQuery,
+    exposure::MoveExposure,
     leave::LeavePlan,
-    moves::{MoveExposure, MoveRole, ServiceMove, VersionChoice},
+    moves::{MoveRole, ServiceMove, VersionChoice},
     patience::{LatencyEstimator, expected_latency},
     process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -8,8 +8,8 @@
 //!
 //! A gateway whose own requests show that the target is bad rolls the move
 //! back at once and tells its peers. Only a decider completes a move, and
-//! only after the target has served requests. The first gateway that decides
-//! writes the status. A final status never changes.
+//! only if the target is probably not worse than the old version. The first
+//! gateway that decides writes the status. A final status never changes.
 
 use std::{
     collections::BTreeMap,
@@ -17,9 +17,11 @@
     time::{Duration, Instant},
 };
 
-use super::GatewayCore;
+use super::{
+    GatewayCore,
+    exposure::{MoveExposure, SendCounts},
+};
 use crate::{
-    config::MoveSettings,
     domain::HolderId,
     moves::{
         MoveEvidence, MoveState, RequestResult, Verdict, VersionEvidence,
@@ -31,18 +33,6 @@
 /// Interval between rounds in which the moves are evaluated.
 const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Part of the allowed share of requests that the target gets while the move
-/// is running. The rest is for the time after its completion.
-const CANARY_PART: f64 = 0.6;
-
-/// Part of the allowed number of further requests that the canary uses. The
-/// rest covers gateways whose load is uneven, and retries.
-const EXTRA_PART: f64 = 0.6;
-
-/// Share of the requests that the target gets while it has had fewer than it
-/// may have, in percent.
-const MAX_CANARY_PERCENT: u32 = 20;
-
 /// Number of gateways that judge the evidence of all gateways. The first is
 /// the primary, the others are its standbys.
 const DECIDER_COUNT: usize = 3;
@@ -67,60 +57,6 @@
     pub(super) route: String,
 }
 
-/// How many requests a target that turns out bad may have got until the end
-/// of its order.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MoveExposure {
-    /// Share of all requests of the service.
-    pub share: f64,
-    /// Requests beyond that share at this gateway.
-    pub extra_requests: f64,
-}
-
-impl MoveExposure {
-    /// Creates limits from the settings of the fleet; `gateways` is the
-    /// number of gateways that serve callers.
-    pub fn new(settings: MoveSettings, gateways: usize) -> MoveExposure {
-        let MoveSettings { exposed_share, exposed_requests } = settings;
-        let extra_requests = exposed_requests / gateways.max(1) as f64;
-        MoveExposure { share: exposed_share, extra_requests }
-    }
-
-    /// Returns the share of the requests that the target gets while the move
-    /// is running, without the extra requests.
-    fn canary_share(&self) -> f64 {
-        self.share * CANARY_PART
-    }
-
-    /// Returns the part of an order's duration after which the primary
-    /// completes the move. A completed target may turn bad under full load;
-    /// the requests that it gets until the end of the duration, those of the
-    /// canary included, still stay within the allowed share.
-    fn decide_part(&self) -> f64 {
-        1.0 - self.share * (1.0 - CANARY_PART)
-    }
-
-    /// Returns the part of an order's duration after which the standbys
-    /// decide. The primary may be down.
-    fn standby_part(&self) -> f64 {
-        (1.0 + self.decide_part()) / 2.0
-    }
-}
-
-impl Default for MoveExposure {
-    fn default() -> MoveExposure {
-        MoveExposure::new(MoveSettings::default(), 1)
-    }
-}
-
-/// Requests of a service that this gateway has sent since the order.
-#[derive(Clone, Copy, Debug, Default)]
-struct SendCounts {
-    /// Those to the target.
-    target: u64,
-    all: u64,
-}
-
 /// The state of a move at one gateway.
 #[derive(Clone, Debug)]
 pub struct ServiceMove {
@@ -206,18 +142,11 @@
 
     /// Returns the share of the requests that the target gets at `now`, in
     /// percent.
-    ///
-    /// The canary share of a small service is too few requests to judge by.
-    /// So the target gets extra requests, spread over the duration.
     fn canary_percent(&self, now: Instant) -> u32 {
         let elapsed = now.saturating_duration_since(self.received_at);
         let elapsed_part =
             elapsed.as_secs_f64() / self.order.duration.as_secs_f64();
-        let extra =
-            self.exposure.extra_requests * EXTRA_PART * elapsed_part.min(1.0);
-        let SendCounts { target, all } = self.sends;
-        let allowed = all as f64 * self.exposure.canary_share() + extra;
-        if target as f64 <= allowed { MAX_CANARY_PERCENT } else { 0 }
+        self.exposure.canary_percent(self.sends, elapsed_part.min(1.0))
     }
 
     /// Records that a request is sent to a version.
--- a/src/gateway/parts.rs
+++ b/src/gateway/parts.rs
@@ -38,6 +38,8 @@
                 core.merge_quarantine(&parts);
             }
         }
+        // Quarantines also end by time.
+        core.update_quarantine_metric();
         core.timer.sleep(EXCHANGE_INTERVAL).await;
     }
 }
@@ -117,10 +119,10 @@
         let answered =
             quarantine.record_answer(request.shared_part_ids(), now);
         drop(quarantine);
-        self.update_quarantine_metric();
         if answered.is_empty() {
             return;
         }
+        self.update_quarantine_metric();
         log::info!(
             event:% = LogEvent::PartsCleared,
             request_id = request.id.as_str(),
