Limits that upstreams name are logged and counted

A line upstream_limited and the gauge magnolia_limited_upstreams show which limit a gateway knows of which upstream. Nothing obeys it yet. The header is decoded strictly: one decimal number without sign or exponent, else the answer says nothing of a limit.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -123,6 +123,11 @@
         if reply.is_leaving {
             self.core.record_leaving(self.slot.upstream());
         }
+        self.core.record_limit(
+            &self.slot.upstream().vm,
+            reply.limit,
+            self.sent_at,
+        );
         if let Some(time) = reply.retry_after {
             self.core.record_backoff(self.slot.upstream(), time);
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -25,7 +25,7 @@
     process::ProcessCore,
     routing::{
         AdmitRequest, AssignedUpstream, PartQuarantine, PlacementHint,
-        RetryBudget, UpstreamTable,
+        RetryBudget, UpstreamLimits, UpstreamTable,
     },
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
@@ -146,6 +146,8 @@
     pub(super) outage: RefCell<OutageTracker>,
     /// The prompt parts that upstreams were lost on.
     pub(super) quarantine: RefCell<PartQuarantine>,
+    /// The rate limits that upstreams have named.
+    pub(super) limits: RefCell<UpstreamLimits>,
     pub(super) latencies: RefCell<LatencyEstimator>,
     pub(super) retry_budgets: RefCell<BTreeMap<String, RetryBudget>>,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //! * `declared` tracks whether the operators' declarations are current
 //!   ([`DeclarationTracker`]); `confirm` asks other routers when the store
 //!   cannot be read.
+//! * `limits` obeys the rate limits that upstreams name.
 //! * `leave` decides which requests are accepted during a shutdown
 //!   ([`LeavePlan`]).
 //! * `moves` moves a service to another version ([`ServiceMove`]);
@@ -36,6 +37,7 @@
 mod exposure;
 mod follow;
 mod leave;
+mod limits;
 mod moves;
 mod parts;
 mod patience;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -23,7 +23,7 @@
         Leaving, ProcessChannels, ServerProcess, Serving, StartFault,
         Starting, bind_exclusive, listen, new_holder_id,
     },
-    routing::{PartQuarantine, UpstreamTable},
+    routing::{PartQuarantine, UpstreamLimits, UpstreamTable},
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
@@ -165,6 +165,7 @@
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageTracker::new()),
         quarantine: RefCell::new(PartQuarantine::new()),
+        limits: RefCell::new(UpstreamLimits::new()),
         latencies: RefCell::new(LatencyEstimator::new()),
         retry_budgets: RefCell::default(),
     }
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, StatusCode};
 
 use super::{PortFuture, UpstreamBody, UpstreamFault};
-use crate::gateway::CallRequest;
+use crate::{gateway::CallRequest, routing::LimitNotice};
 
 /// One attempt to have an upstream serve a request.
 #[derive(Clone)]
@@ -41,6 +41,8 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no requests of this router.
     pub retry_after: Option<Duration>,
+    /// What the answer says about the rate limit of the upstream.
+    pub limit: LimitNotice,
     /// The status code.
     pub status: StatusCode,
     /// The headers to pass on to the caller.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,7 @@
 //! * [`placement_rank`] weighs load, cached prefixes, slowness and failure
 //!   domains.
 //! * [`UpstreamHealth`] ejects upstreams whose requests fail.
+//! * [`UpstreamLimits`] keeps the rate limits that upstreams name.
 //! * [`PartQuarantine`] finds prompt parts that crash upstreams.
 //! * [`RetryBudget`] limits retries to a small fraction of the traffic.
 //!
@@ -19,6 +20,7 @@
 
 mod affinity;
 mod health;
+mod limits;
 mod placement;
 mod quarantine;
 mod queue;
@@ -29,6 +31,7 @@
 pub use self::{
     affinity::PrefixTraffic,
     health::{HealthChange, UpstreamHealth, UpstreamOutcome},
+    limits::{LimitNotice, RequestRate, UpstreamLimits},
     placement::{
         PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
     },
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -97,6 +97,11 @@
     ];
     /// An upstream has asked to be left alone for a time.
     UpstreamBackoff = "upstream_backoff" ["upstream", "service", "for_ms"];
+    /// An upstream has named another limit of requests per second, or none
+    /// any more. The limit is in requests per 1,000 s.
+    UpstreamLimited = "upstream_limited" [
+        "upstream", "limited", "per_kilosecond", "from",
+    ];
     /// An upstream is used again.
     UpstreamReadmitted = "upstream_readmitted" ["upstream", "service"];
     /// A registration came, changed or went.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -51,6 +51,8 @@
     pub claims_cut: IntCounter,
     /// Prompt parts in quarantine.
     pub quarantined_parts: IntGauge,
+    /// Upstreams that name a limit of requests per second.
+    pub limited_upstreams: IntGauge,
     /// Whether the store of prepaid tokens answers.
     pub store_reachable: IntGauge,
 }
@@ -146,6 +148,10 @@
                 "magnolia_quarantined_parts",
                 "Prompt parts whose requests are rejected.",
             ),
+            limited_upstreams: gauge(
+                "magnolia_limited_upstreams",
+                "Upstreams that name a limit of requests per second.",
+            ),
             store_reachable: gauge(
                 "magnolia_store_reachable",
                 "1 while the store of prepaid tokens answers.",
@@ -174,6 +180,7 @@
             Box::new(self.list_read_at.clone()),
             Box::new(self.claims_cut.clone()),
             Box::new(self.quarantined_parts.clone()),
+            Box::new(self.limited_upstreams.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
