--- /dev/null
+++ b/src/routing/table/entry.rs
@@ -0,0 +1,115 @@
+//! One upstream of the table.
+
+use std::time::{Duration, Instant};
+
+use super::{AssignedUpstream, state::ServiceSummary};
+use crate::{
+    membership::rendezvous_weight,
+    routing::{
+        PlacementCandidate, PlacementRank, QueuedRequest, UpstreamHealth,
+        placement_rank,
+    },
+};
+
+/// Time over which an upstream that joins the others gradually becomes the
+/// home of its prefixes.
+const WARM_UP_WINDOW: Duration = Duration::from_secs(8);
+
+/// Age from which on a load report is ignored.
+const LOAD_REPORT_LIFETIME: Duration = Duration::from_secs(2);
+
+/// An upstream with what this router knows of it.
+#[derive(Debug)]
+pub(super) struct UpstreamEntry {
+    pub(super) upstream: AssignedUpstream,
+    pub(super) in_progress: u32,
+    pub(super) drafts: u32,
+    pub(super) cooldown_until: Option<Instant>,
+    pub(super) load: Option<(u32, Instant)>,
+    pub(super) pending_tokens: u64,
+    pub(super) health: UpstreamHealth,
+    /// When the upstream joined the others; `None` if it was part of the
+    /// first list.
+    pub(super) joined_at: Option<Instant>,
+    pub(super) removed: bool,
+}
+
+impl UpstreamEntry {
+    pub(super) fn serves(
+        &self,
+        service: &str,
+        queued: &QueuedRequest,
+    ) -> bool {
+        !self.removed
+            && self.upstream.service == service
+            && queued
+                .version
+                .as_ref()
+                .is_none_or(|v| *v == self.upstream.version)
+            && queued.avoided_version.as_ref() != Some(&self.upstream.version)
+            && !queued.excluded.contains(&self.upstream.vm)
+    }
+
+    pub(super) fn is_free(&self, queued: &QueuedRequest) -> bool {
+        if self.in_progress >= self.upstream.share {
+            return false;
+        }
+        if self.cooldown_until.is_some_and(|until| until > Instant::now()) {
+            return false;
+        }
+        let drafts = (self.upstream.share * queued.draft_percent / 100).max(1);
+        if queued.is_draft && self.drafts >= drafts {
+            return false;
+        }
+        self.fresh_load().is_none_or(|load| load < self.upstream.limit)
+    }
+
+    pub(super) fn fresh_load(&self) -> Option<u32> {
+        let (load, at) = self.load?;
+        (at.elapsed() < LOAD_REPORT_LIFETIME).then_some(load)
+    }
+
+    /// Returns whether the upstream may be the home of an affinity key.
+    ///
+    /// An upstream that has just joined has an empty prefix cache. Its keys
+    /// move to it gradually, so that it need not process all prefixes at
+    /// once.
+    pub(super) fn is_warm(&self, affinity: &str, now: Instant) -> bool {
+        let Some(joined_at) = self.joined_at else {
+            return true;
+        };
+        let age = now.saturating_duration_since(joined_at);
+        let warm_fraction = age.as_secs_f64() / WARM_UP_WINDOW.as_secs_f64();
+        let weight = self.weight(affinity) as u32;
+        f64::from(weight) < warm_fraction * f64::from(u32::MAX)
+    }
+
+    pub(super) fn weight(&self, affinity: &str) -> u64 {
+        rendezvous_weight(affinity, &self.upstream.vm)
+    }
+
+    /// Returns the rank of the upstream for a request.
+    ///
+    /// The requests of this router decide. The load that the upstream
+    /// reported may be outdated and only breaks ties.
+    pub(super) fn rank(
+        &self,
+        queued: &QueuedRequest,
+        summary: &ServiceSummary,
+    ) -> PlacementRank {
+        let domain = &queued.hint.domain;
+        let slowness = self.health.slowness().unwrap_or(summary.slowness);
+        let candidate = PlacementCandidate {
+            in_progress: self.in_progress,
+            share: self.upstream.share,
+            pending_tokens: self.pending_tokens,
+            load: self.fresh_load().unwrap_or(0),
+            is_home: summary.home.as_ref() == Some(&self.upstream.vm),
+            is_other_domain: !domain.is_empty()
+                && *domain != self.upstream.domain,
+            slowness: slowness / summary.slowness.max(f64::MIN_POSITIVE),
+            weight: self.weight(&queued.affinity),
+        };
+        placement_rank(&candidate, &queued.hint)
+    }
+}
