Upstreams get no more than the rate limit that they name

Cause: a signal of an upstream in its answers that nobody read. The limit holds over all gateways, so one that obeyed it alone would not help either.

A few gateways share a limit, by rendezvous hashing of the names on the platform's list, so that the others know it without being asked; each paces its own part from an empty bucket. Whatever is sent is counted where the slot is claimed: first attempts, retries, resumed streams and what leaves the queue. A change is reported to all gateways at once and asked for every 2 s, since a gateway that sends nothing hears nothing. An answer without the header ends the limit only if its request was sent after the limit was last named. Home of shared prompt parts is an upstream without a limit. If no upstream can take a request within its wait it is rejected at once with the time until one can.

A library for rate limits was weighed: it cannot tell whether a request may be sent without counting it.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -12,7 +12,7 @@
             NewerState, PartReport, PingMessage, RelayBatch, RelayedBill,
             UpstreamDeparture,
         },
-        routing::QuarantinedPart,
+        routing::{LimitObservation, QuarantinedPart, RequestRate},
     },
 };
 
@@ -247,6 +247,34 @@
     }
 }
 
+impl From<Vec<LimitObservation>> for wire::LimitsMessage {
+    fn from(observations: Vec<LimitObservation>) -> wire::LimitsMessage {
+        let limits = observations.into_iter().map(|observation| {
+            let LimitObservation { upstream, rate, age } = observation;
+            wire::UpstreamLimit {
+                upstream,
+                per_kilosecond: rate.map(RequestRate::per_kilosecond),
+                age_ms: age.as_millis() as u64,
+            }
+        });
+        wire::LimitsMessage { limits: limits.collect() }
+    }
+}
+
+impl From<wire::LimitsMessage> for Vec<LimitObservation> {
+    fn from(message: wire::LimitsMessage) -> Vec<LimitObservation> {
+        let observations = message.limits.into_iter().map(|limit| {
+            let rate = limit.per_kilosecond;
+            LimitObservation {
+                upstream: limit.upstream,
+                rate: rate.map(RequestRate::from_per_kilosecond),
+                age: Duration::from_millis(limit.age_ms),
+            }
+        });
+        observations.collect()
+    }
+}
+
 impl From<ClaimRequest> for wire::ClaimCall {
     fn from(request: ClaimRequest) -> wire::ClaimCall {
         wire::ClaimCall {
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -199,6 +199,23 @@
     #[prost(uint64, tag = "2")]
     pub left_ms: u64,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitsMessage {
+    #[prost(message, repeated, tag = "1")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamLimit {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Requests per 1,000 seconds over all routers; absent if the upstream names
+    /// no limit any more.
+    #[prost(uint64, optional, tag = "2")]
+    pub per_kilosecond: ::core::option::Option<u64>,
+    /// How long ago the upstream said so, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -523,6 +540,30 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Parts"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reports the rate limits that upstreams have named, and asks for those
+        /// that are known.
+        pub async fn limits(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LimitsMessage>,
+        ) -> std::result::Result<
+            tonic::Response<super::LimitsMessage>,
+            tonic::Status,
+        > {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!(
+                    "Service was not ready: {}",
+                    e.into()
+                ))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/magnolia.peer.Peer/Limits",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("magnolia.peer.Peer", "Limits"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -610,6 +651,15 @@
             tonic::Response<super::PartsAnswer>,
             tonic::Status,
         >;
+        /// Reports the rate limits that upstreams have named, and asks for those
+        /// that are known.
+        async fn limits(
+            &self,
+            request: tonic::Request<super::LimitsMessage>,
+        ) -> std::result::Result<
+            tonic::Response<super::LimitsMessage>,
+            tonic::Status,
+        >;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1165,6 +1215,55 @@
                     };
                     Box::pin(fut)
                 }
+                "/magnolia.peer.Peer/Limits" => {
+                    #[allow(non_camel_case_types)]
+                    struct LimitsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer>
+                        tonic::server::UnaryService<super::LimitsMessage>
+                        for LimitsSvc<T>
+                    {
+                        type Response = super::LimitsMessage;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LimitsMessage>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::limits(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings =
+                        self.accept_compression_encodings;
+                    let send_compression_encodings =
+                        self.send_compression_encodings;
+                    let max_decoding_message_size =
+                        self.max_decoding_message_size;
+                    let max_encoding_message_size =
+                        self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LimitsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response =
                         http::Response::new(tonic::body::Body::default());
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -263,6 +263,10 @@
             let answer = client.parts(wire::PartsCall::from(report)).await?;
             PeerAnswer::Quarantined(answer.into_inner().into())
         }
+        PeerCall::Limits(observations) => {
+            let call = wire::LimitsMessage::from(observations);
+            PeerAnswer::Limits(client.limits(call).await?.into_inner().into())
+        }
         PeerCall::Claim(request) => {
             let call = wire::ClaimCall::from(request);
             PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
@@ -414,6 +418,17 @@
         }
     }
 
+    async fn limits(
+        &self,
+        request: Request<wire::LimitsMessage>,
+    ) -> Result<Response<wire::LimitsMessage>, Status> {
+        let call = PeerCall::Limits(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Limits(known) => Ok(Response::new(known.into())),
+            _ => unexpected_answer(),
+        }
+    }
+
     async fn claim(
         &self,
         request: Request<wire::ClaimCall>,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,7 +31,7 @@
 
 /// An attempt to serve a request at one upstream.
 pub(super) struct CallAttempt<'a> {
-    pub(super) core: &'a GatewayCore,
+    pub(super) core: &'a Rc<GatewayCore>,
     pub(super) request: &'a Rc<CallRequest>,
     pub(super) slot: UpstreamSlot,
     /// Identifier of the last event that the caller has received.
@@ -54,7 +54,7 @@
 impl<'a> CallAttempt<'a> {
     /// Creates an attempt that uses a slot at an upstream.
     pub(super) fn new(
-        core: &'a GatewayCore,
+        core: &'a Rc<GatewayCore>,
         request: &'a Rc<CallRequest>,
         slot: UpstreamSlot,
     ) -> CallAttempt<'a> {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -361,6 +361,7 @@
         self.metrics.upstreams.set(views.len() as i64);
         self.metrics.entry_vms.set(self.directory.entry_count() as i64);
         self.table.update(&views);
+        self.update_rate_shares();
     }
 
     /// Returns the properties of a request that determine its admission.
--- a/src/gateway/parts.rs
+++ b/src/gateway/parts.rs
@@ -44,23 +44,6 @@
     }
 }
 
-/// Sends a report to all other routers.
-fn broadcast(core: &Rc<GatewayCore>, report: &PartReport) {
-    let vms = core.directory.vms();
-    for (vm, entry) in vms.iter() {
-        let peer = entry.peer_address.filter(|_| *vm != core.id.vm);
-        let Some(peer) = peer else {
-            continue;
-        };
-        let (core, report) = (core.clone(), report.clone());
-        monoio::spawn(async move {
-            let call = PeerCall::Parts(report);
-            // A peer that misses the report asks for quarantines itself.
-            let _ = core.ports.peers.call(peer, call).await;
-        });
-    }
-}
-
 impl GatewayCore {
     /// Rejects a request with a part in quarantine.
     pub(super) fn reject_if_quarantined(
@@ -109,7 +92,7 @@
         self.metrics.note_event("parts_suspected");
         self.apply_part_losses(&lost, LossObserver::Own, &self.id.vm);
         let report = PartReport { lost, answered: Vec::new() };
-        broadcast(self, &report);
+        self.broadcast(&PeerCall::Parts(report));
     }
 
     /// Records that an upstream has begun to answer a request.
@@ -130,7 +113,7 @@
             "prompt parts answered, no longer suspected"
         );
         let report = PartReport { lost: Vec::new(), answered };
-        broadcast(self, &report);
+        self.broadcast(&PeerCall::Parts(report));
     }
 
     /// Applies the report of another router and returns the parts that are
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,6 @@
 //! Answers the calls of other routers.
 
-use std::time::Instant;
+use std::{rc::Rc, time::Instant};
 
 use super::GatewayCore;
 use crate::{
@@ -40,6 +40,10 @@
                     PeerAnswer::Declared(state)
                 }
                 PeerCall::Parts(report) => self.apply_part_report(&report),
+                PeerCall::Limits(observations) => {
+                    self.merge_limits(&observations, "peer");
+                    PeerAnswer::Limits(self.limit_observations())
+                }
                 // Gateways exchange no bills, control records or claims.
                 PeerCall::Relay(_)
                 | PeerCall::CatchUp(_)
@@ -48,3 +52,22 @@
         })
     }
 }
+
+impl GatewayCore {
+    /// Calls all other routers without waiting for their answers.
+    ///
+    /// A router that misses the call asks for what it has missed.
+    pub(super) fn broadcast(self: &Rc<Self>, call: &PeerCall) {
+        let vms = self.directory.vms();
+        for (vm, entry) in vms.iter() {
+            let peer = entry.peer_address.filter(|_| *vm != self.id.vm);
+            let Some(peer) = peer else {
+                continue;
+            };
+            let (core, call) = (self.clone(), call.clone());
+            monoio::spawn(async move {
+                let _ = core.ports.peers.call(peer, call).await;
+            });
+        }
+    }
+}
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -10,7 +10,7 @@
 use super::{
     DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
     entry::{self, ListenerRole},
-    follow, moves, parts,
+    follow, limits, moves, parts,
 };
 use crate::{
     adapters::peer::PeerThread,
@@ -71,6 +71,7 @@
         monoio::spawn(follow::run_vm_list(core.clone()));
         monoio::spawn(moves::run_moves(core.clone()));
         monoio::spawn(parts::run_exchange(core.clone()));
+        monoio::spawn(limits::run_exchange(core.clone()));
         monoio::spawn(core.keeper.clone().run());
         monoio::spawn(core.keeper.clone().run_loan_recovery());
         Ok(self.into_serving(callers))
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -8,7 +8,7 @@
     super::PortFuture,
     crate::{
         domain::{BillId, HolderId, PortionId},
-        routing::QuarantinedPart,
+        routing::{LimitObservation, QuarantinedPart},
     },
 };
 
@@ -231,6 +231,8 @@
     },
     /// Reports on prompt parts and asks which ones are in quarantine.
     Parts(PartReport),
+    /// Reports the rate limits of upstreams and asks for the known ones.
+    Limits(Vec<LimitObservation>),
     /// Claims an idempotency key for a request.
     Claim(ClaimRequest),
 }
@@ -254,6 +256,8 @@
     Declared(Option<DeclaredState>),
     /// The prompt parts that are in quarantine.
     Quarantined(Vec<QuarantinedPart>),
+    /// The rate limits of upstreams that are known.
+    Limits(Vec<LimitObservation>),
     /// The first claim of the key.
     Claimed(ClaimReply),
 }
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -61,6 +61,24 @@
     Unknown,
 }
 
+/// What a router knows of the limit of an upstream, for other routers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitObservation {
+    /// The upstream.
+    pub upstream: String,
+    /// Its limit over all routers; `None` if it has stopped naming one.
+    pub rate: Option<RequestRate>,
+    /// Time since it said so.
+    pub age: Duration,
+}
+
+/// Time for which it is remembered that an upstream has stopped naming a
+/// limit, for routers that have missed it.
+const ENDED_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Minimum interval between reports of a changed limit to all routers.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The newest known limit of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct KnownLimit {
@@ -68,6 +86,14 @@
     rate: Option<RequestRate>,
     /// When the upstream said so.
     observed_at: Instant,
+    /// When this router last reported the limit to all others.
+    reported_at: Option<Instant>,
+}
+
+impl KnownLimit {
+    fn new(rate: Option<RequestRate>, observed_at: Instant) -> KnownLimit {
+        KnownLimit { rate, observed_at, reported_at: None }
+    }
 }
 
 /// The rate limits of all upstreams as known to this router.
@@ -95,6 +121,7 @@
         now: Instant,
     ) -> bool {
         let known = self.known.get(upstream);
+        let before = known.and_then(|known| known.rate);
         let rate = match (notice, known) {
             (LimitNotice::Limited(rate), _) => Some(rate),
             (LimitNotice::Unlimited, Some(known))
@@ -104,10 +131,28 @@
             }
             _ => return false,
         };
-        let has_changed = known.is_none_or(|known| known.rate != rate);
-        let limit = KnownLimit { rate, observed_at: now };
+        let reported_at = known.and_then(|known| known.reported_at);
+        let limit = KnownLimit { reported_at, ..KnownLimit::new(rate, now) };
         self.known.insert(upstream.to_owned(), limit);
-        has_changed
+        before != rate
+    }
+
+    /// Returns whether a change is reported to all other routers at once.
+    ///
+    /// A limit that changes with each answer is reported at an interval; the
+    /// others learn of the rest when they ask.
+    pub fn try_report(&mut self, upstream: &str, now: Instant) -> bool {
+        let Some(known) = self.known.get_mut(upstream) else {
+            return false;
+        };
+        let is_recent = known.reported_at.is_some_and(|at| {
+            now.saturating_duration_since(at) < REPORT_INTERVAL
+        });
+        if is_recent && known.rate.is_some() {
+            return false;
+        }
+        known.reported_at = Some(now);
+        true
     }
 
     /// Returns the limit of an upstream, if it has one.
@@ -120,9 +165,61 @@
         self.known.values().filter(|known| known.rate.is_some()).count()
     }
 
-    /// Returns the time since an upstream last said anything of its limit.
-    pub fn age(&self, upstream: &str, now: Instant) -> Option<Duration> {
-        let known = self.known.get(upstream)?;
-        Some(now.saturating_duration_since(known.observed_at))
+    /// Returns the upstreams that have a limit, with their limits.
+    pub fn limited(&self) -> impl Iterator<Item = (&str, RequestRate)> {
+        let known = self.known.iter();
+        known.filter_map(|(id, known)| Some((id.as_str(), known.rate?)))
+    }
+
+    /// Returns what other routers may not know.
+    pub fn observations(&self, now: Instant) -> Vec<LimitObservation> {
+        let mut observations = Vec::with_capacity(self.known.len());
+        for (upstream, known) in &self.known {
+            observations.push(LimitObservation {
+                upstream: upstream.clone(),
+                rate: known.rate,
+                age: now.saturating_duration_since(known.observed_at),
+            });
+        }
+        observations
+    }
+
+    /// Takes over what another router has observed later; returns the
+    /// upstreams whose limit has changed.
+    pub fn merge(
+        &mut self,
+        observations: &[LimitObservation],
+        now: Instant,
+    ) -> Vec<String> {
+        let mut changed = Vec::new();
+        for observation in observations {
+            let LimitObservation { upstream, rate, age } = observation;
+            let known = self.known.get(upstream);
+            let observed_at = now.checked_sub(*age).unwrap_or(now);
+            if known.is_some_and(|known| known.observed_at >= observed_at) {
+                continue;
+            }
+            let before = known.and_then(|known| known.rate);
+            let limit = KnownLimit::new(*rate, observed_at);
+            self.known.insert(upstream.clone(), limit);
+            if before != *rate {
+                changed.push(upstream.clone());
+            }
+        }
+        changed
+    }
+
+    /// Forgets upstreams that do not register any more or whose limit ended
+    /// long ago.
+    pub fn forget(
+        &mut self,
+        is_registered: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
+        self.known.retain(|upstream, known| {
+            let age = now.saturating_duration_since(known.observed_at);
+            let is_current = known.rate.is_some() && is_registered(upstream);
+            is_current || age < ENDED_LIFETIME
+        });
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,7 +11,9 @@
 //! * [`placement_rank`] weighs load, cached prefixes, slowness and failure
 //!   domains.
 //! * [`UpstreamHealth`] ejects upstreams whose requests fail.
-//! * [`UpstreamLimits`] keeps the rate limits that upstreams name.
+//! * [`UpstreamLimits`] keeps the rate limits that upstreams name,
+//!   [`rate_share`] divides one among routers, and [`RatePacer`] keeps to a
+//!   share.
 //! * [`PartQuarantine`] finds prompt parts that crash upstreams.
 //! * [`RetryBudget`] limits retries to a small fraction of the traffic.
 //!
@@ -21,6 +23,7 @@
 mod affinity;
 mod health;
 mod limits;
+mod pace;
 mod placement;
 mod quarantine;
 mod queue;
@@ -31,7 +34,8 @@
 pub use self::{
     affinity::PrefixTraffic,
     health::{HealthChange, UpstreamHealth, UpstreamOutcome},
-    limits::{LimitNotice, RequestRate, UpstreamLimits},
+    limits::{LimitNotice, LimitObservation, RequestRate, UpstreamLimits},
+    pace::{PaceOpening, RatePacer, RateShare, rate_share},
     placement::{
         PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
     },
--- a/src/routing/table/entry.rs
+++ b/src/routing/table/entry.rs
@@ -6,8 +6,8 @@
 use crate::{
     membership::rendezvous_weight,
     routing::{
-        PlacementCandidate, PlacementRank, QueuedRequest, UpstreamHealth,
-        placement_rank,
+        PaceOpening, PlacementCandidate, PlacementRank, QueuedRequest,
+        RatePacer, UpstreamHealth, placement_rank,
     },
 };
 
@@ -15,6 +15,10 @@
 /// home of its prefixes.
 const WARM_UP_WINDOW: Duration = Duration::from_secs(8);
 
+/// Time without requests after which an upstream with a rate limit is
+/// preferred, so that a change of its limit becomes known.
+const LIMIT_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Age from which on a load report is ignored.
 const LOAD_REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -27,6 +31,8 @@
     pub(super) cooldown_until: Option<Instant>,
     pub(super) load: Option<(u32, Instant)>,
     pub(super) pending_tokens: u64,
+    /// Keeps requests within the rate limit that the upstream names.
+    pub(super) pacer: Option<RatePacer>,
     pub(super) health: UpstreamHealth,
     /// When the upstream joined the others; `None` if it was part of the
     /// first list.
@@ -54,7 +60,7 @@
         if self.in_progress >= self.upstream.share {
             return false;
         }
-        if self.cooldown_until.is_some_and(|until| until > Instant::now()) {
+        if self.opening(Instant::now()) != PaceOpening::Now {
             return false;
         }
         let drafts = (self.upstream.share * queued.draft_percent / 100).max(1);
@@ -64,6 +70,28 @@
         self.fresh_load().is_none_or(|load| load < self.upstream.limit)
     }
 
+    /// Returns when the upstream may get a request by time alone, apart from
+    /// its slots.
+    pub(super) fn opening(&self, now: Instant) -> PaceOpening {
+        let paced = self.pacer.map_or(PaceOpening::Now, |p| p.opening(now));
+        let cooldown = self.cooldown_until.filter(|until| *until > now);
+        let Some(cooldown) = cooldown.map(|until| until - now) else {
+            return paced;
+        };
+        match paced {
+            PaceOpening::Now => PaceOpening::In(cooldown),
+            PaceOpening::In(wait) => PaceOpening::In(wait.max(cooldown)),
+            PaceOpening::Elsewhere(_) => paced,
+        }
+    }
+
+    /// Returns whether the upstream has a rate limit and has got no request
+    /// for some time.
+    pub(super) fn needs_limit_probe(&self, now: Instant) -> bool {
+        let idle = self.pacer.map(|pacer| pacer.idle_time(now));
+        idle.is_some_and(|idle| idle >= LIMIT_PROBE_INTERVAL)
+    }
+
     pub(super) fn fresh_load(&self) -> Option<u32> {
         let (load, at) = self.load?;
         (at.elapsed() < LOAD_REPORT_LIFETIME).then_some(load)
--- a/src/routing/table/mod.rs
+++ b/src/routing/table/mod.rs
@@ -8,6 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -16,7 +17,9 @@
 use tokio::sync::oneshot;
 
 use self::state::{TableState, no_upstream};
-use super::{HealthChange, PlacementHint, QueuedRequest, UpstreamOutcome};
+use super::{
+    HealthChange, PlacementHint, QueuedRequest, RateShare, UpstreamOutcome,
+};
 use crate::error::CallError;
 
 /// Time without new requests for an upstream that refused a connection.
@@ -161,6 +164,19 @@
         }
     }
 
+    /// Sets this router's shares of the rate limits that upstreams name, by
+    /// upstream. All others have no limit.
+    pub fn set_rate_shares(&self, shares: &BTreeMap<String, RateShare>) {
+        let services = {
+            let mut state = self.state.borrow_mut();
+            state.set_rate_shares(shares);
+            state.queues.keys().cloned().collect::<Vec<String>>()
+        };
+        for service in services {
+            self.serve_queue(&service);
+        }
+    }
+
     /// Sends an upstream no requests for `time`, as it has asked.
     pub fn back_off(&self, vm: &str, time: Duration) {
         let mut state = self.state.borrow_mut();
@@ -218,8 +234,8 @@
             {
                 return Ok(self.slot(upstream, &queued));
             }
-            if let Some(wait) = state.cooldown_left(request, &queued) {
-                return Err(state.cooling_down(request, wait));
+            if let Some(wait) = state.wait_beyond_reach(request, &queued) {
+                return Err(state.paused(request, wait));
             }
             state.enqueue(request, queued)?
         };
@@ -229,10 +245,16 @@
             ticket,
             waiter,
         };
-        let wait = monoio::time::timeout(request.max_wait, &mut place.waiter);
-        match wait.await {
-            Ok(Ok(slot)) => Ok(slot),
-            _ => Err(self.state.borrow().overloaded(request)),
+        let deadline = Instant::now() + request.max_wait;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let opening = self.state.borrow().next_opening(request.service);
+            let wait = opening.map_or(left, |opening| opening.min(left));
+            match monoio::time::timeout(wait, &mut place.waiter).await {
+                Ok(Ok(slot)) => return Ok(slot),
+                Err(_) if wait < left => self.serve_queue(request.service),
+                _ => return Err(self.state.borrow().overloaded(request)),
+            }
         }
     }
 
--- a/src/routing/table/state.rs
+++ b/src/routing/table/state.rs
@@ -14,8 +14,8 @@
     error::{CallError, ErrorKind},
     membership::rendezvous_weight,
     routing::{
-        AdmissionQueue, PlacementHint, PrefixTraffic, QueuedRequest,
-        UpstreamHealth,
+        AdmissionQueue, PaceOpening, PlacementHint, PrefixTraffic,
+        QueuedRequest, RatePacer, RateShare, UpstreamHealth,
     },
 };
 
@@ -68,6 +68,7 @@
                 cooldown_until: None,
                 load: None,
                 pending_tokens: 0,
+                pacer: None,
                 health: UpstreamHealth::new(),
                 joined_at: (!is_first).then(Instant::now),
                 removed: false,
@@ -99,9 +100,27 @@
         entries.any(|entry| entry.serves(service, queued))
     }
 
-    /// Returns the time until the first upstream may get a request, if all of
-    /// them have asked for more time than the request may wait.
-    pub(super) fn cooldown_left(
+    /// Sets the rate shares of the upstreams that name a limit.
+    pub(super) fn set_rate_shares(
+        &mut self,
+        shares: &BTreeMap<String, RateShare>,
+    ) {
+        let now = Instant::now();
+        for (vm, entry) in &mut self.upstreams {
+            let Some(share) = shares.get(vm) else {
+                entry.pacer = None;
+                continue;
+            };
+            let pacer =
+                entry.pacer.get_or_insert_with(|| RatePacer::new(*share, now));
+            pacer.set_share(*share, now);
+        }
+    }
+
+    /// Returns the time after which a request may find a place, if it
+    /// certainly finds none here within its longest wait: all upstreams have
+    /// asked for a longer pause, or other routers share their rate limits.
+    pub(super) fn wait_beyond_reach(
         &self,
         request: &AdmitRequest<'_>,
         queued: &QueuedRequest,
@@ -112,22 +131,48 @@
             if !entry.serves(request.service, queued) {
                 continue;
             }
-            let until = entry.cooldown_until?;
-            let left = until.saturating_duration_since(now);
-            least = Some(least.map_or(left, |known| known.min(left)));
+            let wait = match entry.opening(now) {
+                PaceOpening::Now => return None,
+                PaceOpening::In(wait) if wait <= request.max_wait => {
+                    return None;
+                }
+                PaceOpening::In(wait) | PaceOpening::Elsewhere(wait) => wait,
+            };
+            least = Some(least.map_or(wait, |known| known.min(wait)));
         }
-        least.filter(|left| *left > request.max_wait)
+        least
     }
 
-    pub(super) fn cooling_down(
+    /// Returns the time until the next upstream of a service may get a
+    /// request that it may not get now, by time alone.
+    pub(super) fn next_opening(&self, service: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let mut least: Option<Duration> = None;
+        for entry in self.upstreams.values() {
+            if entry.removed || entry.upstream.service != service {
+                continue;
+            }
+            let PaceOpening::In(wait) = entry.opening(now) else {
+                continue;
+            };
+            least = Some(least.map_or(wait, |known| known.min(wait)));
+        }
+        least
+    }
+
+    pub(super) fn paused(
         &self,
         request: &AdmitRequest<'_>,
         wait: Duration,
     ) -> CallError {
         let service = request.service;
-        let message =
-            format!("all upstreams of {service} have asked for a pause");
-        CallError::new(ErrorKind::Overloaded, message).with_retry_delay(wait)
+        let message = format!(
+            "all upstreams of {service} have asked for a pause or for less"
+        );
+        let wait = wait.as_secs_f64();
+        let wait = wait.clamp(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S);
+        CallError::new(ErrorKind::Overloaded, message)
+            .with_retry_delay(Duration::from_secs_f64(wait))
     }
 
     /// Returns the median failure level of the other upstreams of a service.
@@ -192,7 +237,9 @@
         }
         let spread = self.prefix_traffic.spread(first, healthy.len(), now);
         let affinity = queued.affinity.as_str();
-        healthy.retain(|(_, entry)| entry.is_warm(affinity, now));
+        healthy.retain(|(_, entry)| {
+            entry.is_warm(affinity, now) && entry.pacer.is_none()
+        });
         healthy.sort_by_cached_key(|(vm, _)| {
             std::cmp::Reverse(rendezvous_weight(first, vm))
         });
@@ -218,7 +265,8 @@
             if summary.avoids_ejected && !admits {
                 continue;
             }
-            let rank = (!admits, entry.rank(queued, &summary));
+            let is_due = entry.needs_limit_probe(now);
+            let rank = (!admits, !is_due, entry.rank(queued, &summary));
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, vm.as_str()));
             }
@@ -235,6 +283,9 @@
         let vm = self.best_free(service, queued)?.to_owned();
         let entry = self.upstreams.get_mut(&vm)?;
         entry.in_progress += 1;
+        if let Some(pacer) = &mut entry.pacer {
+            pacer.record(Instant::now());
+        }
         entry.pending_tokens += queued.hint.prompt_tokens;
         if queued.is_draft {
             entry.drafts += 1;
@@ -303,14 +354,34 @@
             queue.map_or(0, |q| q.count_ahead(priority, account, count));
         let duration = self.durations.get(request.service);
         let duration = duration.copied().unwrap_or(0.0);
-        let mut slots = 0;
+        let mut throughput = 0.0;
+        let mut first_wait: Option<f64> = None;
+        let now = Instant::now();
         for entry in self.upstreams.values() {
             let upstream = &entry.upstream;
-            if upstream.service == request.service && !entry.removed {
-                slots += upstream.share;
+            if upstream.service != request.service || entry.removed {
+                continue;
             }
+            let by_slots = f64::from(upstream.share) / duration;
+            let Some(pacer) = entry.pacer else {
+                throughput += by_slots;
+                first_wait = Some(0.0);
+                continue;
+            };
+            throughput += by_slots.min(pacer.rate());
+            if let PaceOpening::In(wait) = entry.opening(now) {
+                let wait = wait.as_secs_f64();
+                first_wait = Some(first_wait.map_or(wait, |w| w.min(wait)));
+            }
+        }
+        let ahead = ahead as f64;
+        match first_wait {
+            // Of upstreams that all have a limit, the next one to open
+            // serves the first request.
+            Some(wait) if wait > 0.0 => wait + ahead / throughput,
+            _ if throughput > 0.0 => (ahead + 1.0) / throughput,
+            _ => (ahead + 1.0) * duration,
         }
-        (ahead as f64 + 1.0) * duration / f64::from(slots.max(1))
     }
 
     /// Removes the next waiting request that fits a free slot, and claims the
