--- a/src/ports/keyed.rs
+++ b/src/ports/keyed.rs
@@ -74,6 +74,14 @@
 
 /// The platform's keyed topics.
 pub trait KeyedPort {
+    /// Returns the highest era that the topics have named.
+    ///
+    /// Topics that are restored from a copy begin a new era. They lack the
+    /// newest records of the one before and use their offsets again.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads the newest record of each key.
     ///
     /// # Errors
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -160,6 +160,8 @@
     ];
     /// This router sends nothing to a new version any more.
     VersionStopped = "version_stopped" ["move_id", "reason"];
+    /// The platform's store was restored from a copy.
+    StoreRestored = "store_restored" ["era"];
     /// Something that the process needs does not answer.
     DependencyLost = "dependency_lost" ["dependency", "fault", "silent_ms"];
     /// It answers again.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -53,6 +53,8 @@
     pub quarantined_parts: IntGauge,
     /// Upstreams that name a limit of requests per second.
     pub limited_upstreams: IntGauge,
+    /// The era of the store, which rises when it is restored from a copy.
+    pub store_era: IntGauge,
     /// Whether the store of prepaid tokens answers.
     pub store_reachable: IntGauge,
 }
@@ -152,6 +154,10 @@
                 "magnolia_limited_upstreams",
                 "Upstreams that name a limit of requests per second.",
             ),
+            store_era: gauge(
+                "magnolia_store_era",
+                "Era of the store; it rises with each restore from a copy.",
+            ),
             store_reachable: gauge(
                 "magnolia_store_reachable",
                 "1 while the store of prepaid tokens answers.",
@@ -181,6 +187,7 @@
             Box::new(self.claims_cut.clone()),
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.limited_upstreams.clone()),
+            Box::new(self.store_era.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
