--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -81,6 +81,9 @@
     /// Upstreams that have left: when they left, and when they had started.
     departed: BTreeMap<String, (Instant, u64)>,
     read_at: Option<Instant>,
+    /// The newest entries of upstreams that had left before the registry was
+    /// restored. A copy may list them again.
+    bygone: BTreeMap<String, EntryVersion>,
     /// Until when entries that the current read removes are retained.
     retain_until: Option<Instant>,
 }
@@ -180,6 +183,10 @@
         now: Instant,
     ) -> Vec<RosterChange> {
         match event {
+            UpstreamEvent::Restored => {
+                self.begin_era(now);
+                Vec::new()
+            }
             UpstreamEvent::Listed(entry) => {
                 Vec::from_iter(self.list(entry, now))
             }
@@ -193,6 +200,24 @@
         }
     }
 
+    /// Prepares for a registry that was restored from a copy: it may list
+    /// upstreams that have left, and lack those that have joined.
+    fn begin_era(&mut self, now: Instant) {
+        for (id, version) in &self.versions {
+            if !self.entries.contains_key(id) {
+                self.bygone.insert(id.clone(), *version);
+            }
+        }
+        let until = now + REREGISTRATION_WINDOW;
+        self.retain_until = self.retain_until.max(Some(until));
+    }
+
+    /// Returns whether an entry is the one with which an upstream had left
+    /// before the registry was restored.
+    fn is_bygone(&self, id: &str, version: EntryVersion) -> bool {
+        self.bygone.get(id).is_some_and(|newest| version <= *newest)
+    }
+
     fn list(
         &mut self,
         mut entry: UpstreamEntry,
@@ -202,7 +227,8 @@
         let id = entry.id.clone();
         let known = self.versions.get(&id).copied();
         if let Some((started_ms, sequence)) = known
-            && (started_ms, sequence) > version
+            && ((started_ms, sequence) > version
+                || self.is_bygone(&id, version))
         {
             return Some(RosterChange::Outdated { id, started_ms, sequence });
         }
--- a/src/ports/declared.rs
+++ b/src/ports/declared.rs
@@ -70,6 +70,9 @@
 /// A change of the registered upstreams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum UpstreamEvent {
+    /// The registry was restored from a copy; its newest registrations
+    /// follow.
+    Restored,
     /// An upstream has registered or has renewed its registration.
     Listed(UpstreamEntry),
     /// The registration of this upstream was removed.
--- a/src/ports/keyed.rs
+++ b/src/ports/keyed.rs
@@ -6,6 +6,20 @@
 
 use super::PortFuture;
 
+/// A position in a topic.
+///
+/// Positions are ordered by era first: a topic that was restored from a copy
+/// uses the offsets of its earlier era again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+)]
+pub struct TopicPosition {
+    /// The era of the topic.
+    pub era: u64,
+    /// The offset within the era.
+    pub offset: u64,
+}
+
 /// One record of a keyed topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
@@ -20,6 +34,8 @@
 /// The result of a read of a keyed topic.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct KeyedSlice {
+    /// The era that all offsets of the slice belong to.
+    pub era: u64,
     /// The records in order of offset.
     pub records: Vec<KeyedRecord>,
     /// The offset to read from next.
@@ -28,6 +44,13 @@
     pub end: u64,
 }
 
+impl KeyedSlice {
+    /// Returns the position of an offset of this slice.
+    pub fn position(&self, offset: u64) -> TopicPosition {
+        TopicPosition { era: self.era, offset }
+    }
+}
+
 /// The identity under which a process appends to a topic.
 ///
 /// The appends of one epoch have consecutive sequence numbers. The topic
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -41,7 +41,10 @@
         ForwardCall, ForwardConnection, ForwardPort, ForwardReply,
         ForwardVerdict,
     },
-    keyed::{KeyedFault, KeyedPort, KeyedRecord, KeyedSlice, TopicWriter},
+    keyed::{
+        KeyedFault, KeyedPort, KeyedRecord, KeyedSlice, TopicPosition,
+        TopicWriter,
+    },
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
     moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
