Records of tokens are written again in a new era of the store

Seen: behind a restore requests were refused for want of tokens, from 4 in 100 in the first second to 7 in 10 later, because the reader of the topic refused every answer whose end was below its own.

The ledger reads anew in a new era and begins a new writer's epoch, so that nothing of the old era takes effect. Records name the era in which they were written and what earlier incarnations had taken. What a gateway knew of the others counts until they have written in the new era, the higher of memory and copy; claims wait for that, 2 s at most, while tokens at hand are spent. A successor that has read only a copy does not hide what its predecessor took. A standby that reads nothing by itself is woken to write again.

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -8,17 +8,21 @@
 use super::{
     AllowanceRecord,
     loans::LentLoans,
-    own_use::{AccountTotals, AccountUsage},
+    own_use::{AccountTotals, AccountUsage, RecordWriter},
     record::split_key,
 };
 use crate::{
-    ports::{KeyedRecord, LendRequest},
+    ports::{KeyedRecord, LendRequest, TopicPosition},
     telemetry::note_unreadable,
 };
 
 /// A loan is at least this many times the size of the waiting request.
 const LOAN_SIZE_FACTOR: u64 = 4;
 
+/// Time in a new era of the topic in which nobody claims more, so that all
+/// routers can write their records again.
+const ERA_SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// A loan covers the expected demand within this fraction of the horizon.
 const LOAN_HORIZON_DIVISOR: u64 = 4;
 
@@ -26,14 +30,38 @@
 #[derive(Clone, Copy, Debug)]
 struct StoredRecord {
     record: AllowanceRecord,
-    offset: u64,
+    position: TopicPosition,
+    /// Tokens that an earlier incarnation had taken by a record that was lost
+    /// with an era and that the writer of `record` does not know of.
+    uncovered: u64,
+}
+
+impl StoredRecord {
+    /// Returns what counts once `newer` has been read.
+    ///
+    /// In a new era the topic may hold an old copy of this record, or a record
+    /// of a successor that has read only such a copy.
+    fn merge(self, newer: StoredRecord) -> StoredRecord {
+        let StoredRecord { record, position, .. } = newer;
+        let mut uncovered = self.uncovered;
+        if self.position.era == position.era {
+            return StoredRecord { record, position, uncovered };
+        }
+        if record.era < position.era && record.taken <= self.record.taken {
+            return StoredRecord { record: self.record, position, uncovered };
+        }
+        if record.incarnation != self.record.incarnation {
+            uncovered += self.record.taken.saturating_sub(record.base);
+        }
+        StoredRecord { record, position, uncovered }
+    }
 }
 
 /// The incarnation of a VM that wrote last, to any account.
 #[derive(Clone, Copy, Debug)]
 struct LastWriter {
     incarnation: u64,
-    offset: u64,
+    position: TopicPosition,
 }
 
 /// The balance of an account as far as this VM knows it.
@@ -74,12 +102,19 @@
 /// against those after it, whether or not it was granted in full. The sum
 /// of the tokens in use therefore never exceeds the total, even if a reader
 /// has missed records.
+///
+/// A topic that was restored from a copy has lost claims whose tokens may be
+/// spent. Each router then writes its records again, and claims nothing until
+/// the others have done so or [`ERA_SETTLE_TIME`] is over. What a router does
+/// not write again counts with the most that is known of it here.
 #[derive(Debug)]
 pub struct AllowanceLedger {
     vm: String,
     incarnation: u64,
     horizon: Duration,
-    cursor: u64,
+    cursor: TopicPosition,
+    /// When the era of the cursor was first seen; `None` before any.
+    era_began_at: Option<Instant>,
     records: BTreeMap<String, BTreeMap<String, StoredRecord>>,
     last_writers: BTreeMap<String, LastWriter>,
     usage: BTreeMap<String, AccountUsage>,
@@ -103,7 +138,8 @@
             vm: vm.into(),
             incarnation,
             horizon,
-            cursor: 0,
+            cursor: TopicPosition::default(),
+            era_began_at: None,
             records: BTreeMap::new(),
             last_writers: BTreeMap::new(),
             usage: BTreeMap::new(),
@@ -113,11 +149,27 @@
         }
     }
 
-    /// Returns the offset to read from next.
-    pub fn cursor(&self) -> u64 {
+    /// Returns the position to read from next.
+    pub fn cursor(&self) -> TopicPosition {
         self.cursor
     }
 
+    /// Returns the era that was read; `None` before the first read.
+    pub fn era(&self) -> Option<u64> {
+        self.era_began_at.map(|_| self.cursor.era)
+    }
+
+    /// Begins an era of the topic, whose newest records have to be loaded
+    /// next.
+    ///
+    /// Unconfirmed records are dropped: they were computed from records that
+    /// may be lost. Should one be in the topic all the same, it is replaced.
+    pub fn begin_era(&mut self, era: u64, now: Instant) {
+        self.cursor = TopicPosition { era, offset: 0 };
+        self.era_began_at = Some(now);
+        self.unconfirmed.records.clear();
+    }
+
     /// Loads the newest record of each key.
     ///
     /// The records are not a consistent snapshot. Claims are granted only
@@ -127,7 +179,7 @@
         for record in records {
             self.store(record, now);
         }
-        self.cursor = self.cursor.max(next);
+        self.cursor.offset = self.cursor.offset.max(next);
     }
 
     /// Grants claims after a load, once everything up to the end of the topic
@@ -165,7 +217,7 @@
                 self.grant(&account, record, prepaid);
             }
         }
-        self.cursor = self.cursor.max(next);
+        self.cursor.offset = self.cursor.offset.max(next);
     }
 
     /// Stores a record unless a newer one is known, and returns it if this
@@ -184,16 +236,25 @@
             note_unreadable(&entry.key, "value is not an allowance record");
             return None;
         };
-        let offset = entry.offset;
-        let stored = self.records.entry(account.to_owned()).or_default();
-        if stored.get(vm).is_some_and(|known| known.offset >= offset) {
+        let position =
+            TopicPosition { era: self.cursor.era, offset: entry.offset };
+        let known = self.records.get(account).and_then(|all| all.get(vm));
+        let known = known.copied();
+        if known.is_some_and(|known| known.position >= position) {
             return None;
         }
-        stored.insert(vm.to_owned(), StoredRecord { record, offset });
-        self.note_writer(vm, record.incarnation, offset);
+        let stored = StoredRecord { record, position, uncovered: 0 };
+        let stored = known.map_or(stored, |known| known.merge(stored));
+        let all = self.records.entry(account.to_owned()).or_default();
+        all.insert(vm.to_owned(), stored);
+        let is_copy = record.era < position.era;
+        if !is_copy || !self.last_writers.contains_key(vm) {
+            self.note_writer(vm, stored.record.incarnation, position);
+        }
         if vm != self.vm {
             return None;
         }
+        let record = stored.record;
         if record.incarnation != self.incarnation {
             // An earlier incarnation may have spent more than it recorded.
             // What it took beyond that is therefore never used again.
@@ -204,10 +265,15 @@
     }
 
     /// Records which incarnation of a VM wrote last.
-    fn note_writer(&mut self, vm: &str, incarnation: u64, offset: u64) {
-        let writer = LastWriter { incarnation, offset };
+    fn note_writer(
+        &mut self,
+        vm: &str,
+        incarnation: u64,
+        position: TopicPosition,
+    ) {
+        let writer = LastWriter { incarnation, position };
         let known = self.last_writers.entry(vm.to_owned()).or_insert(writer);
-        if known.offset < offset {
+        if known.position < position {
             *known = writer;
         }
     }
@@ -225,7 +291,13 @@
         let is_ended = last_writer.is_some_and(|writer| {
             writer.incarnation != stored.record.incarnation
         });
-        if is_ended { stored.record.after_end() } else { stored.record }
+        let mut record = stored.record;
+        if is_ended {
+            record = record.after_end();
+        }
+        record.taken += stored.uncovered;
+        record.lost += stored.uncovered;
+        record
     }
 
     /// Grants the claim of an unconfirmed record, which must be the newest one
@@ -516,10 +588,13 @@
                 others_want: self.wanted_by_others(&account) > free,
                 routers,
             };
+            let is_settling = self.is_settling(&account, now);
             let Some(usage) = self.usage.get_mut(&account) else {
                 continue;
             };
             let (limit, wanted) = usage.next_limit(&totals, now);
+            let limit =
+                if is_settling { limit.min(usage.limit) } else { limit };
             self.add_unconfirmed(account, limit, wanted);
         }
         self.unconfirmed.clone()
@@ -546,19 +621,36 @@
         let Some(usage) = self.usage.get_mut(&account) else {
             return;
         };
-        let record = usage.record(self.incarnation, limit, wanted);
+        let writer = RecordWriter {
+            incarnation: self.incarnation,
+            era: self.cursor.era,
+        };
+        let record = usage.record(writer, limit, wanted);
         usage.limit = usage.limit.min(limit);
         let is_unused = stored.is_none() && record.taken == 0 && wanted == 0;
         let is_unchanged = stored.is_some_and(|stored| {
             let is_earlier = stored.incarnation != record.incarnation;
             let is_idle = is_earlier && limit == 0 && wanted == 0;
-            stored == record || is_idle
+            stored == record || is_idle && stored.era == record.era
         });
         if !is_unused && !is_unchanged {
             self.unconfirmed.records.push((account, record));
         }
     }
 
+    /// Returns whether claims on an account have to wait, because other
+    /// routers may not have written their records again in this era.
+    fn is_settling(&self, account: &str, now: Instant) -> bool {
+        let began_at = self.era_began_at;
+        let is_recent = began_at.is_some_and(|at| {
+            now.saturating_duration_since(at) < ERA_SETTLE_TIME
+        });
+        let era = self.cursor.era;
+        let stored = self.records.get(account).into_iter().flatten();
+        let mut others = stored.filter(|(vm, _)| **vm != self.vm);
+        is_recent && others.any(|(_, stored)| stored.record.era < era)
+    }
+
     /// Whether some of this VM's records have not been read back yet.
     pub fn has_unconfirmed(&self) -> bool {
         !self.unconfirmed.records.is_empty()
--- a/src/allowance/own_use.rs
+++ b/src/allowance/own_use.rs
@@ -39,6 +39,14 @@
     pub(super) routers: u64,
 }
 
+/// What a record says of its writer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RecordWriter {
+    pub(super) incarnation: u64,
+    /// The era of the topic that the writer knows.
+    pub(super) era: u64,
+}
+
 /// This VM's usage of one account.
 #[derive(Debug)]
 pub(super) struct AccountUsage {
@@ -97,13 +105,15 @@
     /// Builds the record of this usage with a new limit.
     pub(super) fn record(
         &self,
-        incarnation: u64,
+        writer: RecordWriter,
         limit: u64,
         wanted: u64,
     ) -> AllowanceRecord {
         let net_lent = self.lent as i64 - self.borrowed as i64;
         AllowanceRecord {
-            incarnation,
+            incarnation: writer.incarnation,
+            era: writer.era,
+            base: self.baseline.taken,
             taken: self.baseline.taken + limit,
             spent: self.baseline.spent + self.spent,
             lent: self.baseline.lent + net_lent,
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -23,6 +23,12 @@
         /// spent. They may have been spent, so they are never used again.
         #[serde(rename = "l", default)]
         pub lost: u64,
+        /// Tokens taken by the earlier incarnations that the writer knows of.
+        #[serde(rename = "b", default)]
+        pub base: u64,
+        /// The era of the topic in which the record was written.
+        #[serde(rename = "e", default)]
+        pub era: u64,
         /// Tokens that requests wait for and that are not free.
         #[serde(rename = "w", default)]
         pub wanted: u64,
--- a/src/allowance/sync.rs
+++ b/src/allowance/sync.rs
@@ -13,7 +13,7 @@
 use super::{AllowanceBatch, AllowanceKeeper, SyncPace, allowance_key};
 use crate::{
     domain::HolderId,
-    ports::{KeyedFault, KeyedRecord, TopicWriter},
+    ports::{KeyedFault, KeyedRecord, KeyedSlice, TopicWriter},
     telemetry::LogEvent,
 };
 
@@ -146,6 +146,11 @@
                 self.append(&batch).await?;
             }
             self.read_all().await?;
+            if !self.append_state.borrow().is_fenced {
+                // A new era has begun; the next round writes the records
+                // again.
+                break;
+            }
             if !batch.records.is_empty()
                 && !self.ledger.borrow().has_unconfirmed()
             {
@@ -172,8 +177,13 @@
             self.append_state.borrow_mut().begin_epoch(STALE_EPOCH_STEP);
         }
         fenced?;
+        let era = self.ports.topics.era();
         self.is_loaded.set(false);
         self.read_all().await?;
+        if self.ledger.borrow().era().is_some_and(|read| read > era) {
+            let reason = "the topic was restored behind the fence".to_owned();
+            return Err(KeyedFault::Refused { reason });
+        }
         let prepaid = self.prepaid.borrow();
         self.ledger.borrow_mut().finish_load(&prepaid, true);
         self.append_state.borrow_mut().is_fenced = true;
@@ -238,13 +248,13 @@
     async fn read_all(&self) -> Result<(), KeyedFault> {
         let mut has_loaded = false;
         loop {
-            let from = self.ledger.borrow().cursor();
+            let cursor = self.ledger.borrow().cursor();
             let topics = &self.ports.topics;
             let is_load = !self.is_loaded.get();
             let read = if is_load {
                 topics.newest(TOPIC).await
             } else {
-                topics.read(TOPIC, from, Duration::ZERO).await
+                topics.read(TOPIC, cursor.offset, Duration::ZERO).await
             };
             let slice = match read {
                 Ok(slice) => slice,
@@ -254,7 +264,12 @@
                 }
                 Err(fault) => return Err(fault),
             };
-            if slice.end < from {
+            if self.begin_era_of(&slice) && !is_load {
+                self.is_loaded.set(false);
+                continue;
+            }
+            let from = self.ledger.borrow().cursor();
+            if slice.position(slice.end) < from {
                 // The answer is older than what has been read already.
                 let reason = "the end of the topic moved backwards".to_owned();
                 return Err(KeyedFault::Refused { reason });
@@ -284,6 +299,37 @@
         Ok(())
     }
 
+    /// Begins the era of a slice if it is the first or a new one; returns
+    /// whether it is.
+    ///
+    /// In a new era the topic has lost records of this writer, so that a new
+    /// epoch has to begin too.
+    fn begin_era_of(&self, slice: &KeyedSlice) -> bool {
+        let known = self.ledger.borrow().era();
+        if known.is_some_and(|known| known >= slice.era) {
+            return false;
+        }
+        let now = Instant::now();
+        self.ledger.borrow_mut().begin_era(slice.era, now);
+        let mut state = self.append_state.borrow_mut();
+        if known.is_some() && state.is_fenced {
+            state.begin_epoch(1);
+            self.sync_requested.notify_one();
+        }
+        true
+    }
+
+    /// Has the records written again if the topic was restored.
+    ///
+    /// A router that holds no tokens reads nothing by itself, but others
+    /// count what it has spent.
+    pub fn note_era(&self, era: u64) {
+        let known = self.ledger.borrow().era();
+        if known.is_some_and(|known| known < era) {
+            self.sync_requested.notify_one();
+        }
+    }
+
     /// Logs each claim that was cut and returns whether there was one.
     fn log_cuts(&self) -> bool {
         let cuts = self.ledger.borrow_mut().take_cuts();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -76,7 +76,9 @@
         }
         let reachable = core.keeper.is_topic_reachable();
         core.metrics.store_reachable.set(i64::from(reachable));
-        core.metrics.store_era.set(core.ports.topics.era() as i64);
+        let era = core.ports.topics.era();
+        core.metrics.store_era.set(era as i64);
+        core.keeper.note_era(era);
         core.metrics.claims_cut.inc_by(core.keeper.take_cuts());
         let serving = core.serving_state();
         core.keeper.set_serving(serving);
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -148,7 +148,7 @@
     }
 
     fn read_new(&mut self, topic: &Topic, total: u64, now: Instant) {
-        let from = self.ledger.cursor() as usize;
+        let from = self.ledger.cursor().offset as usize;
         let records = topic.records[from..].to_vec();
         self.ledger.apply(&records, topic.end(), &prepaid(total), now);
     }
