A version move is not started again when its order is written again

Seen in a test: behind a restore the operators' order stands at another offset again, and gateways that had completed the move began it anew: 36 of 40 requests went to the version whose upstreams end with the move. Cause: an offset served as the number of the order, and offsets are given out again.

Orders have a position, ordered by era first. In a later era an order that asks for the same as the known one, or as one before it, is the same: the known one takes over the position and writes its status again.

--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -61,6 +61,9 @@
 #[derive(Clone, Debug)]
 pub struct ServiceMove {
     order: MoveOrder,
+    /// The orders for the service before this one. A topic that is restored
+    /// from a copy may hold one of them again.
+    earlier_orders: Vec<MoveOrder>,
     exposure: MoveExposure,
     sends: SendCounts,
     /// When this gateway received the order.
@@ -102,6 +105,7 @@
     pub fn new(order: MoveOrder, now: Instant) -> ServiceMove {
         ServiceMove {
             order,
+            earlier_orders: Vec::new(),
             exposure: MoveExposure::default(),
             sends: SendCounts::default(),
             received_at: now,
@@ -118,6 +122,43 @@
         self
     }
 
+    /// Sets the orders for the service before this one.
+    pub fn with_earlier_orders(
+        mut self,
+        earlier_orders: Vec<MoveOrder>,
+    ) -> ServiceMove {
+        self.earlier_orders = earlier_orders;
+        self
+    }
+
+    /// Returns whether an order is a new one. In a later era of the topic it
+    /// may be one that is known from before the restore.
+    pub fn is_new_order(&self, order: &MoveOrder) -> bool {
+        let known = self.order.position;
+        if order.position.era <= known.era {
+            return order.position > known;
+        }
+        let is_known = |other: &MoveOrder| other.asks_same(order);
+        !is_known(&self.order) && !self.earlier_orders.iter().any(is_known)
+    }
+
+    /// Takes over the position at which this order was written again in a
+    /// later era. Its status has to be stored again, too.
+    pub fn adopt_position(&mut self, order: &MoveOrder) {
+        let is_later = order.position.era > self.order.position.era;
+        if is_later && order.asks_same(&self.order) {
+            self.order.position = order.position;
+            self.is_stored = false;
+        }
+    }
+
+    /// Returns this order and those before it.
+    fn all_orders(&self) -> Vec<MoveOrder> {
+        let mut orders = self.earlier_orders.clone();
+        orders.push(self.order.clone());
+        orders
+    }
+
     /// Returns which versions may serve a request that arrived at `now`.
     pub fn version_choice(
         &self,
@@ -127,7 +168,7 @@
         let target = self.order.target.clone();
         let takes_target = match self.status {
             MoveStatus::Running => MoveState::routes_to_new(
-                self.order.number,
+                self.order.position.offset,
                 self.canary_percent(now),
                 request_id,
             ),
@@ -387,7 +428,7 @@
 ) {
     let report = EvidenceReport {
         holder: core.id.clone(),
-        move_id: service_move.order.number,
+        move_id: service_move.order.position.offset,
         evidence,
         tripped,
     };
@@ -420,16 +461,18 @@
     /// Starts a move unless the service has the same or a newer order.
     pub(super) fn apply_order(&self, order: MoveOrder) {
         let mut moves = self.moves.borrow_mut();
-        let service_move = moves.get(&order.service);
-        if service_move.is_some_and(|service_move| {
-            service_move.order.number >= order.number
-        }) {
-            return;
+        let mut earlier_orders = Vec::new();
+        if let Some(service_move) = moves.get_mut(&order.service) {
+            if !service_move.is_new_order(&order) {
+                service_move.adopt_position(&order);
+                return;
+            }
+            earlier_orders = service_move.all_orders();
         }
         log::info!(
             event:% = LogEvent::MoveOrdered,
             service = order.service.as_str(), to_version = order.target.as_str(),
-            number = order.number,
+            number = order.position.offset,
             for_ms = order.duration.as_millis() as u64;
             "version move ordered"
         );
@@ -440,8 +483,10 @@
             count => count.min(self.entry_width()),
         };
         let exposure = MoveExposure::new(self.settings.moves, gateways);
-        let service_move = ServiceMove::new(order, Instant::now());
-        moves.insert(service, service_move.with_exposure(exposure));
+        let service_move = ServiceMove::new(order, Instant::now())
+            .with_exposure(exposure)
+            .with_earlier_orders(earlier_orders);
+        moves.insert(service, service_move);
     }
 
     /// Applies the status of a move that `from` gives as its origin.
@@ -475,7 +520,7 @@
     pub(super) fn record_evidence_report(&self, report: EvidenceReport) {
         let mut moves = self.moves.borrow_mut();
         let mut service_move = moves.iter_mut().filter(|(_, service_move)| {
-            service_move.order.number == report.move_id
+            service_move.order.position.offset == report.move_id
         });
         let Some((service, service_move)) = service_move.next() else {
             return;
--- a/src/ports/moves.rs
+++ b/src/ports/moves.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{KeyedFault, PortFuture};
+use super::{KeyedFault, PortFuture, TopicPosition};
 
 /// An order to move a service to another version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,8 +13,17 @@
     pub target: String,
     /// Time from the order until the move is decided.
     pub duration: Duration,
-    /// Number of the order; a later order has a higher number.
-    pub number: u64,
+    /// Position of the order; a later order has a higher one. An order that
+    /// is written again after a restore has another position.
+    pub position: TopicPosition,
+}
+
+impl MoveOrder {
+    /// Returns whether another order asks for the same, wherever it stands.
+    pub fn asks_same(&self, other: &MoveOrder) -> bool {
+        let position = self.position;
+        MoveOrder { position, ..other.clone() } == *self
+    }
 }
 
 /// The state of a version move.
--- a/tests/version_moves.rs
+++ b/tests/version_moves.rs
@@ -9,7 +9,7 @@
         domain::HolderId,
         gateway::{MoveExposure, MoveRole, ServiceMove},
         moves::RequestResult,
-        ports::{MoveOrder, MoveStatus},
+        ports::{MoveOrder, MoveStatus, TopicPosition},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
@@ -23,7 +23,7 @@
         service: "chat".to_owned(),
         target: "v2".to_owned(),
         duration: Duration::from_secs(seconds),
-        number: 7,
+        position: TopicPosition { era: 1, offset: 7 },
     }
 }
 
@@ -383,3 +383,34 @@
     }
     assert!(completed >= 98, "{completed} of 100");
 }
+
+/// An order at `offset` of an era.
+fn order_at(target: &str, era: u64, offset: u64) -> MoveOrder {
+    MoveOrder {
+        target: target.to_owned(),
+        position: TopicPosition { era, offset },
+        ..order(10)
+    }
+}
+
+/// A topic that was restored from a copy holds orders again, at offsets that
+/// may be higher or lower.
+#[yare::parameterized(
+    again_at_a_higher_offset = { "v2", 2, 9, false },
+    again_at_a_lower_offset = { "v2", 2, 3, false },
+    an_earlier_one = { "v1", 2, 9, false },
+    a_new_one = { "v3", 2, 3, true },
+    later_in_the_same_era = { "v2", 1, 8, true },
+    earlier_in_the_same_era = { "v3", 1, 6, false },
+)]
+fn an_order_from_before_a_restore_is_no_new_one(
+    target: &str,
+    era: u64,
+    offset: u64,
+    expected: bool,
+) {
+    let service_move = ServiceMove::new(order_at("v2", 1, 7), Instant::now())
+        .with_earlier_orders(vec![order_at("v1", 1, 2)]);
+    let found = service_move.is_new_order(&order_at(target, era, offset));
+    assert_eq!(found, expected);
+}
