Routers tell each other what they have taken while the store is away

Cause: the last claims of a VM that dies or freezes before it writes again are known to nobody; its successor reads a copy without them.

While the topic of tokens cannot be reached each router reports its cumulative records once a second to the routers that serve callers. In a later era what a VM has reported counts until it has written again, and stays lost if a successor with a lower base has. A router that starts asks one that serves for the records of its VM before it claims, 0.6 s at most.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -7,10 +7,10 @@
     crate::{
         domain::{BillId, HolderId, PortionId},
         ports::{
-            ClaimReply, ClaimRequest, DeclaredState, EvidenceReport,
-            KnownState, LendReply, LendRequest, MemberStatus, MemberUpdate,
-            NewerState, PartReport, PingMessage, RelayBatch, RelayedBill,
-            UpstreamDeparture,
+            AccountAllowance, AllowanceReport, ClaimReply, ClaimRequest,
+            DeclaredState, EvidenceReport, KnownState, LendReply, LendRequest,
+            MemberStatus, MemberUpdate, NewerState, PartReport, PingMessage,
+            RelayBatch, RelayedBill, UpstreamDeparture,
         },
         routing::{LimitObservation, QuarantinedPart, RequestRate},
     },
@@ -275,6 +275,49 @@
     }
 }
 
+impl From<AccountAllowance> for wire::Allowance {
+    fn from(allowance: AccountAllowance) -> wire::Allowance {
+        let AccountAllowance { account, record } = allowance;
+        wire::Allowance { account, record }
+    }
+}
+
+impl From<wire::Allowance> for AccountAllowance {
+    fn from(allowance: wire::Allowance) -> AccountAllowance {
+        let wire::Allowance { account, record } = allowance;
+        AccountAllowance { account, record }
+    }
+}
+
+impl From<AllowanceReport> for wire::AllowancesCall {
+    fn from(report: AllowanceReport) -> wire::AllowancesCall {
+        let AllowanceReport { vm, records } = report;
+        let records = records.into_iter().map(Into::into).collect();
+        wire::AllowancesCall { vm, records }
+    }
+}
+
+impl From<wire::AllowancesCall> for AllowanceReport {
+    fn from(call: wire::AllowancesCall) -> AllowanceReport {
+        let wire::AllowancesCall { vm, records } = call;
+        let records = records.into_iter().map(Into::into).collect();
+        AllowanceReport { vm, records }
+    }
+}
+
+impl From<Vec<AccountAllowance>> for wire::AllowancesAnswer {
+    fn from(records: Vec<AccountAllowance>) -> wire::AllowancesAnswer {
+        let records = records.into_iter().map(Into::into).collect();
+        wire::AllowancesAnswer { records }
+    }
+}
+
+impl From<wire::AllowancesAnswer> for Vec<AccountAllowance> {
+    fn from(answer: wire::AllowancesAnswer) -> Vec<AccountAllowance> {
+        answer.records.into_iter().map(Into::into).collect()
+    }
+}
+
 impl From<ClaimRequest> for wire::ClaimCall {
     fn from(request: ClaimRequest) -> wire::ClaimCall {
         wire::ClaimCall {
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -216,6 +216,28 @@
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AllowancesCall {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    /// Records of this VM.
+    #[prost(message, repeated, tag = "2")]
+    pub records: ::prost::alloc::vec::Vec<Allowance>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AllowancesAnswer {
+    /// Records of the caller's VM, as the receiver knows them.
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<Allowance>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Allowance {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// The record as the topic holds it.
+    #[prost(string, tag = "2")]
+    pub record: ::prost::alloc::string::String,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -564,6 +586,30 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Limits"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells what a router has taken out of accounts, and asks what is known of
+        /// the records of its VM.
+        pub async fn allowances(
+            &mut self,
+            request: impl tonic::IntoRequest<super::AllowancesCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::AllowancesAnswer>,
+            tonic::Status,
+        > {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!(
+                    "Service was not ready: {}",
+                    e.into()
+                ))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/magnolia.peer.Peer/Allowances",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("magnolia.peer.Peer", "Allowances"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -660,6 +706,15 @@
             tonic::Response<super::LimitsMessage>,
             tonic::Status,
         >;
+        /// Tells what a router has taken out of accounts, and asks what is known of
+        /// the records of its VM.
+        async fn allowances(
+            &self,
+            request: tonic::Request<super::AllowancesCall>,
+        ) -> std::result::Result<
+            tonic::Response<super::AllowancesAnswer>,
+            tonic::Status,
+        >;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1264,6 +1319,55 @@
                     };
                     Box::pin(fut)
                 }
+                "/magnolia.peer.Peer/Allowances" => {
+                    #[allow(non_camel_case_types)]
+                    struct AllowancesSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer>
+                        tonic::server::UnaryService<super::AllowancesCall>
+                        for AllowancesSvc<T>
+                    {
+                        type Response = super::AllowancesAnswer;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::AllowancesCall>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::allowances(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings =
+                        self.accept_compression_encodings;
+                    let send_compression_encodings =
+                        self.send_compression_encodings;
+                    let max_decoding_message_size =
+                        self.max_decoding_message_size;
+                    let max_encoding_message_size =
+                        self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = AllowancesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response =
                         http::Response::new(tonic::body::Body::default());
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -267,6 +267,11 @@
             let call = wire::LimitsMessage::from(observations);
             PeerAnswer::Limits(client.limits(call).await?.into_inner().into())
         }
+        PeerCall::Allowances(report) => {
+            let call = wire::AllowancesCall::from(report);
+            let answer = client.allowances(call).await?.into_inner();
+            PeerAnswer::Allowances(answer.into())
+        }
         PeerCall::Claim(request) => {
             let call = wire::ClaimCall::from(request);
             PeerAnswer::Claimed(client.claim(call).await?.into_inner().into())
@@ -429,6 +434,17 @@
         }
     }
 
+    async fn allowances(
+        &self,
+        request: Request<wire::AllowancesCall>,
+    ) -> Result<Response<wire::AllowancesAnswer>, Status> {
+        let call = PeerCall::Allowances(request.into_inner().into());
+        match self.handle(call).await? {
+            PeerAnswer::Allowances(known) => Ok(Response::new(known.into())),
+            _ => unexpected_answer(),
+        }
+    }
+
     async fn claim(
         &self,
         request: Request<wire::ClaimCall>,
--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -34,26 +34,52 @@
     /// Tokens that an earlier incarnation had taken by a record that was lost
     /// with an era and that the writer of `record` does not know of.
     uncovered: u64,
+    /// Tokens beyond `record` that its writer has reported, until it has
+    /// written its record again.
+    reported: u64,
 }
 
 impl StoredRecord {
+    fn new(record: AllowanceRecord, position: TopicPosition) -> StoredRecord {
+        StoredRecord { record, position, uncovered: 0, reported: 0 }
+    }
+
     /// Returns what counts once `newer` has been read.
     ///
     /// In a new era the topic may hold an old copy of this record, or a record
     /// of a successor that has read only such a copy.
     fn merge(self, newer: StoredRecord) -> StoredRecord {
         let StoredRecord { record, position, .. } = newer;
-        let mut uncovered = self.uncovered;
-        if self.position.era == position.era {
-            return StoredRecord { record, position, uncovered };
+        let era = position.era;
+        if self.record.era < era
+            && record.era < era
+            && record.taken <= self.record.taken
+        {
+            return StoredRecord { position, ..self };
         }
-        if record.era < position.era && record.taken <= self.record.taken {
-            return StoredRecord { record: self.record, position, uncovered };
+        let mut merged = StoredRecord::new(record, position);
+        merged.uncovered = self.uncovered;
+        if self.record.era >= era {
+            return merged;
         }
-        if record.incarnation != self.record.incarnation {
-            uncovered += self.record.taken.saturating_sub(record.base);
+        if record.era < era {
+            merged.reported = self.reported;
+        } else if record.incarnation != self.record.incarnation {
+            let known = self.record.taken + self.reported;
+            merged.uncovered += known.saturating_sub(record.base);
+        }
+        merged
+    }
+
+    /// Counts what a VM has reported of itself in an earlier era than `era`.
+    fn learn(&mut self, told: AllowanceRecord, era: u64) {
+        if self.record.era < era {
+            let missing = told.taken.saturating_sub(self.record.taken);
+            self.reported = self.reported.max(missing);
+        } else if self.record.incarnation != told.incarnation {
+            let missing = told.taken.saturating_sub(self.record.base);
+            self.uncovered = self.uncovered.max(missing);
         }
-        StoredRecord { record, position, uncovered }
     }
 }
 
@@ -117,6 +143,8 @@
     era_began_at: Option<Instant>,
     records: BTreeMap<String, BTreeMap<String, StoredRecord>>,
     last_writers: BTreeMap<String, LastWriter>,
+    /// What VMs have reported of themselves, by account and VM.
+    told: BTreeMap<(String, String), AllowanceRecord>,
     usage: BTreeMap<String, AccountUsage>,
     loans: LentLoans,
     /// This VM's records that have not been read back yet.
@@ -142,6 +170,7 @@
             era_began_at: None,
             records: BTreeMap::new(),
             last_writers: BTreeMap::new(),
+            told: BTreeMap::new(),
             usage: BTreeMap::new(),
             loans: LentLoans::default(),
             unconfirmed: AllowanceBatch::default(),
@@ -170,6 +199,68 @@
         self.unconfirmed.records.clear();
     }
 
+    /// Takes over what a VM has reported of its record for an account.
+    ///
+    /// It counts only once the topic has begun a later era, in which the
+    /// record may be lost.
+    pub fn learn(&mut self, account: &str, vm: &str, told: AllowanceRecord) {
+        let key = (account.to_owned(), vm.to_owned());
+        let known = self.told.get(&key).copied().unwrap_or(told);
+        let is_later = (told.era, told.incarnation, told.taken)
+            >= (known.era, known.incarnation, known.taken);
+        let newest = if is_later { told } else { known };
+        self.told.insert(key, newest);
+        self.apply_told(account, vm, newest);
+    }
+
+    fn apply_told(&mut self, account: &str, vm: &str, told: AllowanceRecord) {
+        let era = self.cursor.era;
+        if told.era >= era || told.incarnation == self.incarnation {
+            return;
+        }
+        let all = self.records.entry(account.to_owned()).or_default();
+        let stored = all.entry(vm.to_owned()).or_insert_with(|| {
+            let nothing = AllowanceRecord { taken: 0, ..told };
+            let position = TopicPosition { era: told.era, offset: 0 };
+            StoredRecord::new(nothing, position)
+        });
+        stored.learn(told, era);
+    }
+
+    /// Returns this VM's records as they would be written now.
+    pub fn own_records(&self) -> Vec<(String, AllowanceRecord)> {
+        let writer = RecordWriter {
+            incarnation: self.incarnation,
+            era: self.cursor.era,
+        };
+        let mut records = Vec::new();
+        for (account, usage) in &self.usage {
+            let record = usage.record(writer, usage.limit, 0);
+            if record.taken > 0 {
+                records.push((account.clone(), record));
+            }
+        }
+        records
+    }
+
+    /// Returns the newest known records of a VM: what it has reported, or
+    /// else what was read.
+    pub fn known_records(&self, vm: &str) -> Vec<(String, AllowanceRecord)> {
+        let mut known: BTreeMap<String, AllowanceRecord> = BTreeMap::new();
+        for (account, all) in &self.records {
+            if let Some(stored) = all.get(vm) {
+                known.insert(account.clone(), stored.record);
+            }
+        }
+        for ((account, reporter), told) in &self.told {
+            let read = known.get(account).map_or(0, |record| record.taken);
+            if reporter == vm && told.taken > read {
+                known.insert(account.clone(), *told);
+            }
+        }
+        known.into_iter().collect()
+    }
+
     /// Loads the newest record of each key.
     ///
     /// The records are not a consistent snapshot. Claims are granted only
@@ -192,6 +283,9 @@
         prepaid: &BTreeMap<String, u64>,
         is_fenced: bool,
     ) {
+        for ((account, vm), told) in self.told.clone() {
+            self.apply_told(&account, &vm, told);
+        }
         for (account, record) in self.unconfirmed.records.clone() {
             let stored = self.own_record(&account);
             if stored.is_some_and(|stored| stored == record) {
@@ -243,7 +337,7 @@
         if known.is_some_and(|known| known.position >= position) {
             return None;
         }
-        let stored = StoredRecord { record, position, uncovered: 0 };
+        let stored = StoredRecord::new(record, position);
         let stored = known.map_or(stored, |known| known.merge(stored));
         let all = self.records.entry(account.to_owned()).or_default();
         all.insert(vm.to_owned(), stored);
@@ -295,8 +389,9 @@
         if is_ended {
             record = record.after_end();
         }
-        record.taken += stored.uncovered;
-        record.lost += stored.uncovered;
+        let missing = stored.uncovered + stored.reported;
+        record.taken += missing;
+        record.lost += missing;
         record
     }
 
@@ -320,7 +415,7 @@
         let Some(usage) = self.usage.get_mut(account) else {
             return;
         };
-        let claimed = record.taken - usage.baseline.taken;
+        let claimed = record.taken.saturating_sub(usage.baseline.taken);
         let left = prepaid.saturating_sub(others + usage.baseline.taken);
         let granted = usage.limit.max(claimed.min(left));
         usage.limit = granted;
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -11,16 +11,16 @@
 use tokio::sync::{Mutex, Notify};
 
 use super::{
-    AllowanceBalance, AllowanceLedger, LenderMemory, ServingState, TokenHold,
-    lending::PendingLoan, sync::AppendState,
+    AllowanceBalance, AllowanceLedger, AllowanceRecord, LenderMemory,
+    ServingState, TokenHold, lending::PendingLoan, sync::AppendState,
 };
 use crate::{
     catalog::AccountSpec,
     domain::HolderId,
     error::{CallError, ErrorKind},
     membership::{MemberTable, VmDirectory},
-    ports::{KeyedPort, PeerPort},
-    telemetry::DependencyLog,
+    ports::{AccountAllowance, AllowanceReport, KeyedPort, PeerPort},
+    telemetry::{DependencyLog, note_unreadable},
     timer::TimerService,
 };
 
@@ -88,6 +88,8 @@
     /// does so at a time.
     pub(super) sync_lock: Mutex<()>,
     pub(super) is_draining: Cell<bool>,
+    /// Whether another router was asked for the records of this VM.
+    pub(super) may_claim: Cell<bool>,
     pub(super) serving: Cell<ServingState>,
     /// When a request last needed tokens.
     pub(super) last_needed: Cell<Option<Instant>>,
@@ -137,6 +139,7 @@
             append_state,
             sync_lock: Mutex::new(()),
             is_draining: Cell::new(false),
+            may_claim: Cell::new(false),
             serving: Cell::new(ServingState::new()),
             last_needed: Cell::new(None),
             borrowing_accounts: RefCell::default(),
@@ -169,6 +172,42 @@
         }
     }
 
+    /// Lets tokens be claimed from now on.
+    pub fn allow_claims(&self) {
+        self.may_claim.set(true);
+        if !self.ledger.borrow().is_idle() {
+            self.sync_requested.notify_one();
+        }
+    }
+
+    /// Returns what this VM has taken out of all accounts.
+    pub fn report(&self) -> AllowanceReport {
+        let mut records = Vec::new();
+        for (account, record) in self.ledger.borrow().own_records() {
+            let record = record.encode();
+            records.push(AccountAllowance { account, record });
+        }
+        AllowanceReport { vm: self.id.vm.clone(), records }
+    }
+
+    /// Takes over what a VM has reported of its records, and returns what is
+    /// known of them here.
+    pub fn learn(&self, report: &AllowanceReport) -> Vec<AccountAllowance> {
+        let mut ledger = self.ledger.borrow_mut();
+        for AccountAllowance { account, record } in &report.records {
+            match AllowanceRecord::decode(record) {
+                Some(record) => ledger.learn(account, &report.vm, record),
+                None => note_unreadable(&report.vm, "not a record of tokens"),
+            }
+        }
+        let known = ledger.known_records(&report.vm).into_iter();
+        let known = known.map(|(account, record)| AccountAllowance {
+            account,
+            record: record.encode(),
+        });
+        known.collect()
+    }
+
     /// Whether the topic answered the last call.
     pub fn is_topic_reachable(&self) -> bool {
         self.topic_state.lost_time().is_none()
--- a/src/allowance/sync.rs
+++ b/src/allowance/sync.rs
@@ -194,6 +194,9 @@
         let should_release =
             self.is_draining.get() || self.pace() != SyncPace::Serving;
         let mut ledger = self.ledger.borrow_mut();
+        if !self.may_claim.get() {
+            return AllowanceBatch::default();
+        }
         if should_release {
             return ledger.release_batch();
         }
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -94,7 +94,7 @@
         let mut limits = self.limits.borrow_mut();
         let roster = self.roster.borrow();
         limits.forget(|upstream| roster.entry(upstream).is_some(), now);
-        let routers = self.limit_sharers();
+        let routers = self.serving_routers();
         let own = &self.settings.vm;
         let mut shares = BTreeMap::new();
         for (upstream, rate) in limits.limited() {
@@ -108,7 +108,7 @@
     ///
     /// They depend on the platform's list alone, so that they are the same at
     /// all routers.
-    fn limit_sharers(&self) -> Vec<String> {
+    pub(super) fn serving_routers(&self) -> Vec<String> {
         let vms = self.directory.vms();
         let regions: BTreeSet<&str> =
             vms.values().map(|entry| entry.region.as_str()).collect();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,8 @@
 //!   `exposure` bounds what a bad one may get ([`MoveExposure`]).
 //! * `parts` rejects requests with prompt parts that crash upstreams.
 //! * `peers` answers other routers.
+//! * `witness` tells other routers what this one has taken out of accounts
+//!   while the store cannot be reached.
 //! * `process` starts and stops the process ([`GatewayProcess`]).
 
 mod attempt;
@@ -45,6 +47,7 @@
 mod process;
 mod relay;
 mod request;
+mod witness;
 
 pub use self::{
     core::{GatewayCore, GatewayPorts},
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -44,6 +44,9 @@
                     self.merge_limits(&observations, "peer");
                     PeerAnswer::Limits(self.limit_observations())
                 }
+                PeerCall::Allowances(report) => {
+                    PeerAnswer::Allowances(self.keeper.learn(&report))
+                }
                 // Gateways exchange no bills, control records or claims.
                 PeerCall::Relay(_)
                 | PeerCall::CatchUp(_)
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -10,7 +10,7 @@
 use super::{
     DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
     entry::{self, ListenerRole},
-    follow, limits, moves, parts,
+    follow, limits, moves, parts, witness,
 };
 use crate::{
     adapters::peer::PeerThread,
@@ -72,6 +72,7 @@
         monoio::spawn(moves::run_moves(core.clone()));
         monoio::spawn(parts::run_exchange(core.clone()));
         monoio::spawn(limits::run_exchange(core.clone()));
+        monoio::spawn(witness::run_witness(core.clone()));
         monoio::spawn(core.keeper.clone().run());
         monoio::spawn(core.keeper.clone().run_loan_recovery());
         Ok(self.into_serving(callers))
--- /dev/null
+++ b/src/gateway/witness.rs
@@ -0,0 +1,91 @@
+//! Tells other routers what this one has taken out of accounts.
+//!
+//! The store may come back from an outage without its newest records. What
+//! this router has taken is then known to others only if it tells them in
+//! time: it may die, freeze or be cut off before it writes its records again.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use rand::seq::IteratorRandom;
+
+use super::GatewayCore;
+use crate::ports::{AllowanceReport, PeerAnswer, PeerCall};
+
+/// Interval between checks whether the store can be reached.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval between two reports while the store cannot be reached.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Interval between attempts to ask another router after the start.
+const ASK_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Longest time after the start in which another router is asked for the
+/// records of this VM before any tokens are claimed.
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Asks for the records of this VM once, then reports them to others while
+/// the store cannot be reached. Never returns.
+pub(super) async fn run_witness(core: Rc<GatewayCore>) {
+    let asked = ask_others(&core);
+    let _ = monoio::time::timeout(ASK_TIMEOUT, asked).await;
+    core.keeper.allow_claims();
+    let mut reported_at: Option<Instant> = None;
+    loop {
+        core.timer.sleep(CHECK_INTERVAL).await;
+        if core.keeper.is_topic_reachable() {
+            reported_at = None;
+            continue;
+        }
+        if reported_at.is_some_and(|at| at.elapsed() < REPORT_INTERVAL) {
+            continue;
+        }
+        reported_at = Some(Instant::now());
+        report(&core);
+    }
+}
+
+/// Asks routers that serve callers until one has answered.
+async fn ask_others(core: &Rc<GatewayCore>) {
+    loop {
+        core.timer.sleep(ASK_INTERVAL).await;
+        let routers = core.serving_routers();
+        let others = routers.iter().filter(|vm| **vm != core.id.vm);
+        let chosen = others.choose(&mut rand::rng());
+        let address = chosen.and_then(|vm| core.directory.peer_address(vm));
+        let Some(peer) = address else {
+            continue;
+        };
+        let report = core.keeper.report();
+        let call = PeerCall::Allowances(report);
+        let answer = core.ports.peers.call(peer, call).await;
+        if let Ok(PeerAnswer::Allowances(records)) = answer {
+            let vm = core.id.vm.clone();
+            core.keeper.learn(&AllowanceReport { vm, records });
+            return;
+        }
+    }
+}
+
+/// Sends the records of this router to all that serve callers.
+fn report(core: &Rc<GatewayCore>) {
+    let report = core.keeper.report();
+    if report.records.is_empty() {
+        return;
+    }
+    for vm in core.serving_routers() {
+        let address = core.directory.peer_address(&vm);
+        let Some(peer) = address.filter(|_| vm != core.id.vm) else {
+            continue;
+        };
+        let (core, report) = (core.clone(), report.clone());
+        monoio::spawn(async move {
+            let call = PeerCall::Allowances(report);
+            // The next report holds the same records and more.
+            let _ = core.ports.peers.call(peer, call).await;
+        });
+    }
+}
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -48,10 +48,11 @@
     log::{LogCursors, LogFault, LogPort, LogRecord, LogSlice},
     moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
-        ClaimReply, ClaimRequest, DeclaredState, EvidenceReport, KnownState,
-        LendReply, LendRequest, MemberStatus, MemberUpdate, NewerState,
-        PartReport, PeerAnswer, PeerCall, PeerFault, PeerHandler, PeerPort,
-        PingMessage, RelayBatch, RelayedBill, UpstreamDeparture,
+        AccountAllowance, AllowanceReport, ClaimReply, ClaimRequest,
+        DeclaredState, EvidenceReport, KnownState, LendReply, LendRequest,
+        MemberStatus, MemberUpdate, NewerState, PartReport, PeerAnswer,
+        PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage, RelayBatch,
+        RelayedBill, UpstreamDeparture,
     },
     upstream::{
         UpstreamBody, UpstreamCall, UpstreamConnection, UpstreamFault,
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -178,6 +178,24 @@
     pub answered: Vec<String>,
 }
 
+/// What a VM has taken out of an account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountAllowance {
+    /// The account.
+    pub account: String,
+    /// The encoded record of the VM.
+    pub record: String,
+}
+
+/// What a VM has taken out of all accounts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AllowanceReport {
+    /// The VM.
+    pub vm: String,
+    /// Its records.
+    pub records: Vec<AccountAllowance>,
+}
+
 /// Claims an idempotency key for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
@@ -233,6 +251,9 @@
     Parts(PartReport),
     /// Reports the rate limits of upstreams and asks for the known ones.
     Limits(Vec<LimitObservation>),
+    /// Tells what the caller has taken out of accounts, and asks what is
+    /// known of the records of its VM.
+    Allowances(AllowanceReport),
     /// Claims an idempotency key for a request.
     Claim(ClaimRequest),
 }
@@ -258,6 +279,8 @@
     Quarantined(Vec<QuarantinedPart>),
     /// The rate limits of upstreams that are known.
     Limits(Vec<LimitObservation>),
+    /// The records of the caller's VM that are known.
+    Allowances(Vec<AccountAllowance>),
     /// The first claim of the key.
     Claimed(ClaimReply),
 }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -34,6 +34,8 @@
                 PeerCall::Departures => PeerAnswer::Departed(Vec::new()),
                 // Routers do not know the parts of prompts.
                 PeerCall::Parts(_) => PeerAnswer::Quarantined(Vec::new()),
+                // Routers keep prepaid tokens in streams of the log.
+                PeerCall::Allowances(_) => PeerAnswer::Allowances(Vec::new()),
                 // Engines name no rate limits.
                 PeerCall::Limits(_) => PeerAnswer::Limits(Vec::new()),
                 PeerCall::Claim(request) => {
