A router asks which records may be lost before it claims in a new era

Cause: a standby reads no records and hears no reports. It takes over from a gateway that fails, and knows of its claims only what the copy holds.

One second into a new era, and after its start, a router asks one that serves callers. The answer has the records of the asking VM and all that have not been written again in the era.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -277,15 +277,15 @@
 
 impl From<AccountAllowance> for wire::Allowance {
     fn from(allowance: AccountAllowance) -> wire::Allowance {
-        let AccountAllowance { account, record } = allowance;
-        wire::Allowance { account, record }
+        let AccountAllowance { account, vm, record } = allowance;
+        wire::Allowance { account, record, vm }
     }
 }
 
 impl From<wire::Allowance> for AccountAllowance {
     fn from(allowance: wire::Allowance) -> AccountAllowance {
-        let wire::Allowance { account, record } = allowance;
-        AccountAllowance { account, record }
+        let wire::Allowance { account, record, vm } = allowance;
+        AccountAllowance { account, vm, record }
     }
 }
 
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -226,7 +226,8 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct AllowancesAnswer {
-    /// Records of the caller's VM, as the receiver knows them.
+    /// Records of the caller's VM, and those of VMs that have not written them
+    /// again since the topic was restored, as the receiver knows them.
     #[prost(message, repeated, tag = "1")]
     pub records: ::prost::alloc::vec::Vec<Allowance>,
 }
@@ -237,6 +238,9 @@
     /// The record as the topic holds it.
     #[prost(string, tag = "2")]
     pub record: ::prost::alloc::string::String,
+    /// The VM that the record belongs to.
+    #[prost(string, tag = "3")]
+    pub vm: ::prost::alloc::string::String,
 }
 /// Generated client implementations.
 pub mod peer_client {
--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -12,7 +12,7 @@
     record::split_key,
 };
 use crate::{
-    ports::{KeyedRecord, LendRequest, TopicPosition},
+    ports::{AccountAllowance, KeyedRecord, LendRequest, TopicPosition},
     telemetry::note_unreadable,
 };
 
@@ -243,22 +243,26 @@
         records
     }
 
-    /// Returns the newest known records of a VM: what it has reported, or
-    /// else what was read.
-    pub fn known_records(&self, vm: &str) -> Vec<(String, AllowanceRecord)> {
-        let mut known: BTreeMap<String, AllowanceRecord> = BTreeMap::new();
+    /// Returns what is known here of the records of `asking_vm`, and of those
+    /// that have not been written again in this era.
+    pub fn known_records(&self, asking_vm: &str) -> Vec<AccountAllowance> {
+        let mut known = Vec::new();
         for (account, all) in &self.records {
-            if let Some(stored) = all.get(vm) {
-                known.insert(account.clone(), stored.record);
+            for (vm, stored) in all {
+                let is_lost = stored.record.era < self.cursor.era;
+                if vm != asking_vm && !is_lost {
+                    continue;
+                }
+                let mut record = stored.record;
+                record.taken += stored.reported;
+                known.push(AccountAllowance {
+                    account: account.clone(),
+                    vm: vm.clone(),
+                    record: record.encode(),
+                });
             }
         }
-        for ((account, reporter), told) in &self.told {
-            let read = known.get(account).map_or(0, |record| record.taken);
-            if reporter == vm && told.taken > read {
-                known.insert(account.clone(), *told);
-            }
-        }
-        known.into_iter().collect()
+        known
     }
 
     /// Loads the newest record of each key.
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -182,30 +182,30 @@
 
     /// Returns what this VM has taken out of all accounts.
     pub fn report(&self) -> AllowanceReport {
+        let vm = self.id.vm.clone();
         let mut records = Vec::new();
         for (account, record) in self.ledger.borrow().own_records() {
-            let record = record.encode();
-            records.push(AccountAllowance { account, record });
+            let (vm, record) = (vm.clone(), record.encode());
+            records.push(AccountAllowance { account, vm, record });
         }
-        AllowanceReport { vm: self.id.vm.clone(), records }
+        AllowanceReport { vm, records }
     }
 
-    /// Takes over what a VM has reported of its records, and returns what is
-    /// known of them here.
-    pub fn learn(&self, report: &AllowanceReport) -> Vec<AccountAllowance> {
+    /// Takes over what another router knows of records.
+    pub fn learn(&self, records: &[AccountAllowance]) {
         let mut ledger = self.ledger.borrow_mut();
-        for AccountAllowance { account, record } in &report.records {
+        for AccountAllowance { account, vm, record } in records {
             match AllowanceRecord::decode(record) {
-                Some(record) => ledger.learn(account, &report.vm, record),
-                None => note_unreadable(&report.vm, "not a record of tokens"),
+                Some(record) => ledger.learn(account, vm, record),
+                None => note_unreadable(vm, "not a record of tokens"),
             }
         }
-        let known = ledger.known_records(&report.vm).into_iter();
-        let known = known.map(|(account, record)| AccountAllowance {
-            account,
-            record: record.encode(),
-        });
-        known.collect()
+    }
+
+    /// Returns what is known here of the records of `vm`, and of those that
+    /// have not been written again since the topic was restored.
+    pub fn known_records(&self, vm: &str) -> Vec<AccountAllowance> {
+        self.ledger.borrow().known_records(vm)
     }
 
     /// Whether the topic answered the last call.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -45,7 +45,9 @@
                     PeerAnswer::Limits(self.limit_observations())
                 }
                 PeerCall::Allowances(report) => {
-                    PeerAnswer::Allowances(self.keeper.learn(&report))
+                    self.keeper.learn(&report.records);
+                    let known = self.keeper.known_records(&report.vm);
+                    PeerAnswer::Allowances(known)
                 }
                 // Gateways exchange no bills, control records or claims.
                 PeerCall::Relay(_)
--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -12,7 +12,7 @@
 use rand::seq::IteratorRandom;
 
 use super::GatewayCore;
-use crate::ports::{AllowanceReport, PeerAnswer, PeerCall};
+use crate::ports::{PeerAnswer, PeerCall};
 
 /// Interval between checks whether the store can be reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -23,19 +23,27 @@
 /// Interval between attempts to ask another router after the start.
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Longest time after the start in which another router is asked for the
-/// records of this VM before any tokens are claimed.
+/// Time in a new era after which another router is asked.
+const ERA_ASK_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Longest time in which another router is asked for records. After the start
+/// no tokens are claimed before.
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Asks for the records of this VM once, then reports them to others while
 /// the store cannot be reached. Never returns.
 pub(super) async fn run_witness(core: Rc<GatewayCore>) {
-    let asked = ask_others(&core);
-    let _ = monoio::time::timeout(ASK_TIMEOUT, asked).await;
+    ask_others(&core).await;
     core.keeper.allow_claims();
+    let mut known_era = core.ports.topics.era();
     let mut reported_at: Option<Instant> = None;
     loop {
         core.timer.sleep(CHECK_INTERVAL).await;
+        let era = core.ports.topics.era();
+        if era > known_era {
+            known_era = era;
+            monoio::spawn(ask_in_new_era(core.clone()));
+        }
         if core.keeper.is_topic_reachable() {
             reported_at = None;
             continue;
@@ -48,9 +56,19 @@
     }
 }
 
-/// Asks routers that serve callers until one has answered.
+/// Asks another router which records may be lost, once it has had time to
+/// read which ones were written again.
+///
+/// A standby reads no records, and takes over from a router that fails.
+async fn ask_in_new_era(core: Rc<GatewayCore>) {
+    core.timer.sleep(ERA_ASK_DELAY).await;
+    ask_others(&core).await;
+}
+
+/// Asks routers that serve callers until one has answered, for some time.
 async fn ask_others(core: &Rc<GatewayCore>) {
-    loop {
+    let deadline = Instant::now() + ASK_TIMEOUT;
+    while Instant::now() < deadline {
         core.timer.sleep(ASK_INTERVAL).await;
         let routers = core.serving_routers();
         let others = routers.iter().filter(|vm| **vm != core.id.vm);
@@ -63,8 +81,7 @@
         let call = PeerCall::Allowances(report);
         let answer = core.ports.peers.call(peer, call).await;
         if let Ok(PeerAnswer::Allowances(records)) = answer {
-            let vm = core.id.vm.clone();
-            core.keeper.learn(&AllowanceReport { vm, records });
+            core.keeper.learn(&records);
             return;
         }
     }
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -183,11 +183,13 @@
 pub struct AccountAllowance {
     /// The account.
     pub account: String,
+    /// The VM.
+    pub vm: String,
     /// The encoded record of the VM.
     pub record: String,
 }
 
-/// What a VM has taken out of all accounts.
+/// What a router reports of the records of its VM.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AllowanceReport {
     /// The VM.
@@ -252,7 +254,7 @@
     /// Reports the rate limits of upstreams and asks for the known ones.
     Limits(Vec<LimitObservation>),
     /// Tells what the caller has taken out of accounts, and asks what is
-    /// known of the records of its VM.
+    /// known of its VM's records and of those that may be lost.
     Allowances(AllowanceReport),
     /// Claims an idempotency key for a request.
     Claim(ClaimRequest),
@@ -279,7 +281,8 @@
     Quarantined(Vec<QuarantinedPart>),
     /// The rate limits of upstreams that are known.
     Limits(Vec<LimitObservation>),
-    /// The records of the caller's VM that are known.
+    /// The records of the caller's VM that are known, and those of VMs that
+    /// have not written them again since the topic was restored.
     Allowances(Vec<AccountAllowance>),
     /// The first claim of the key.
     Claimed(ClaimReply),
