--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -10,6 +10,7 @@
     loans::LentLoans,
     own_use::{AccountTotals, AccountUsage, RecordWriter},
     record::split_key,
+    stored::StoredRecord,
 };
 use crate::{
     ports::{AccountAllowance, KeyedRecord, LendRequest, TopicPosition},
@@ -26,68 +27,6 @@
 /// A loan covers the expected demand within this fraction of the horizon.
 const LOAN_HORIZON_DIVISOR: u64 = 4;
 
-/// The newest record of a VM, with its position in the topic.
-#[derive(Clone, Copy, Debug)]
-struct StoredRecord {
-    record: AllowanceRecord,
-    position: TopicPosition,
-    /// Tokens that an earlier incarnation had taken by a record that was lost
-    /// with an era and that the writer of `record` does not know of.
-    uncovered: u64,
-    /// Tokens beyond `record` that its writer has reported, until it has
-    /// written its record again.
-    reported: u64,
-}
-
-impl StoredRecord {
-    fn new(record: AllowanceRecord, position: TopicPosition) -> StoredRecord {
-        StoredRecord { record, position, uncovered: 0, reported: 0 }
-    }
-
-    /// Returns what counts once `newer` has been read.
-    ///
-    /// In a new era the topic may hold an old copy of this record, or a record
-    /// of a successor that has read only such a copy.
-    fn merge(self, newer: StoredRecord) -> StoredRecord {
-        let StoredRecord { record, position, .. } = newer;
-        let era = position.era;
-        if self.record.era < era
-            && record.era < era
-            && record.taken <= self.record.taken
-        {
-            return StoredRecord { position, ..self };
-        }
-        let mut merged = StoredRecord::new(record, position);
-        merged.uncovered = self.uncovered;
-        if self.record.era >= era {
-            if record.incarnation == self.record.incarnation {
-                // The writer has learned of it and counts it itself.
-                let learned = record.base.saturating_sub(self.record.base);
-                merged.uncovered = merged.uncovered.saturating_sub(learned);
-            }
-            return merged;
-        }
-        if record.era < era {
-            merged.reported = self.reported;
-        } else if record.incarnation != self.record.incarnation {
-            let known = self.record.taken + self.reported;
-            merged.uncovered += known.saturating_sub(record.base);
-        }
-        merged
-    }
-
-    /// Counts what a VM has reported of itself in an earlier era than `era`.
-    fn learn(&mut self, told: AllowanceRecord, era: u64) {
-        if self.record.era < era {
-            let missing = told.taken.saturating_sub(self.record.taken);
-            self.reported = self.reported.max(missing);
-        } else if self.record.incarnation != told.incarnation {
-            let missing = told.taken.saturating_sub(self.record.base);
-            self.uncovered = self.uncovered.max(missing);
-        }
-    }
-}
-
 /// The incarnation of a VM that wrote last, to any account.
 #[derive(Clone, Copy, Debug)]
 struct LastWriter {
@@ -148,7 +87,7 @@
     era_began_at: Option<Instant>,
     records: BTreeMap<String, BTreeMap<String, StoredRecord>>,
     last_writers: BTreeMap<String, LastWriter>,
-    /// What VMs have reported of themselves, by account and VM.
+    /// What other routers have told of records, by account and VM.
     told: BTreeMap<(String, String), AllowanceRecord>,
     usage: BTreeMap<String, AccountUsage>,
     loans: LentLoans,
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -36,6 +36,7 @@
 mod own_use;
 mod pace;
 mod record;
+mod stored;
 mod sync;
 
 pub use self::{
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -94,6 +94,10 @@
         let mut limits = self.limits.borrow_mut();
         let roster = self.roster.borrow();
         limits.forget(|upstream| roster.entry(upstream).is_some(), now);
+        if limits.limited_count() == 0 {
+            self.table.set_rate_shares(&BTreeMap::new());
+            return;
+        }
         let routers = self.serving_routers();
         let own = &self.settings.vm;
         let mut shares = BTreeMap::new();
@@ -113,13 +117,13 @@
         let regions: BTreeSet<&str> =
             vms.values().map(|entry| entry.region.as_str()).collect();
         let width = self.entry_width();
-        let mut sharers = BTreeSet::new();
+        let mut serving = BTreeSet::new();
         for region in regions {
             let health = |_: &str| EntryHealth::default();
             let selected = select_entries(vms.iter(), region, width, health);
-            sharers.extend(selected.into_iter().map(|entry| entry.vm));
+            serving.extend(selected.into_iter().map(|entry| entry.vm));
         }
-        sharers.into_iter().collect()
+        serving.into_iter().collect()
     }
 
     fn log_limit(&self, upstream: &str, from: &str) {
