Review, case 3: a part that crashes workers after the first event

Cause: the first event of an answer clears the suspicion of all parts of its prompt; a loss after it is not counted.

--- a/review/common.rs
+++ b/review/common.rs
@@ -519,14 +519,16 @@
              \"timeoutMs\":{timeout},\"targetLatencyMs\":400,\
              \"priority\":1,\"service\":\"{service}\",\
              \"maxAttempts\":{attempts},\"sticky\":{},\
-             \"resumable\":false,\"gapAimMs\":400}}",
-            service == "engines"
+             \"resumable\":{},\"gapAimMs\":400}}",
+            service == "engines",
+            prefix == "round"
         )
     };
     let routes = [
         route("lookup", "idempotent", "ledger", 3_000, 1),
         route("pay", "non_idempotent", "ledger", 3_000, 1),
         route("summary", "streaming", "engines", 12_000, 1),
+        route("round", "streaming", "engines", 12_000, 2),
     ];
     let config = format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
