--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -24,6 +24,7 @@
     connection::{BodyLength, body_length, write_all},
     encode::{encode_message, payload_of},
 };
+use crate::domain::MAX_TIME;
 
 /// Default maximum of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -461,7 +462,7 @@
         let seconds = option.trim().strip_prefix("timeout=")?;
         seconds.parse::<u64>().ok()
     })?;
-    let timeout = Duration::from_secs(seconds);
+    let timeout = Duration::from_secs(seconds).min(MAX_TIME);
     Some(timeout * (100 - IDLE_MARGIN_PERCENT) / 100)
 }
 
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -25,6 +25,10 @@
     socket2::SockRef,
 };
 
+/// Maximum size in bytes of any head. The decoder panics on a header name
+/// of 64 KiB.
+const MAX_HEAD_BYTES: usize = 64 * 1024 - 1;
+
 /// Size in bytes of the buffer of one read.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -248,13 +252,13 @@
     where
         D: Decoder<Error = DecodeError>,
     {
+        let limit = limits.head_bytes.min(MAX_HEAD_BYTES);
         loop {
             // The decoder only looks for the end of the head, so the limit is
             // checked here, on the bytes before that end.
             let end = find_head_end(&self.buffer);
             let head_bytes = end.unwrap_or(self.buffer.len());
-            if head_bytes > limits.head_bytes {
-                let limit = limits.head_bytes;
+            if head_bytes > limit {
                 return Err(HttpFault::HeadTooLarge { limit });
             }
             if let Decoded::Some(head) = decoder.decode(&mut self.buffer)? {
--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -1,11 +1,9 @@
 //! Conversions between the messages of the port and of the gRPC protocol.
 
-use std::time::Duration;
-
 use {
     super::generated as wire,
     crate::{
-        domain::{BillId, HolderId, PortionId},
+        domain::{BillId, HolderId, PortionId, time_from_ms},
         ports::{
             AccountAllowance, AllowanceReport, ClaimReply, ClaimRequest,
             DeclaredState, EvidenceReport, KnownState, LendReply, LendRequest,
@@ -240,7 +238,7 @@
     fn from(answer: wire::PartsAnswer) -> Vec<QuarantinedPart> {
         let parts = answer.quarantined.into_iter().map(|quarantined| {
             let wire::QuarantinedPart { part, left_ms } = quarantined;
-            let time_left = Duration::from_millis(left_ms);
+            let time_left = time_from_ms(left_ms);
             QuarantinedPart { part, time_left }
         });
         parts.collect()
@@ -268,7 +266,7 @@
             LimitObservation {
                 upstream: limit.upstream,
                 rate: rate.map(RequestRate::from_per_kilosecond),
-                age: Duration::from_millis(limit.age_ms),
+                age: time_from_ms(limit.age_ms),
             }
         });
         observations.collect()
@@ -415,8 +413,8 @@
     fn from(answer: wire::DeclaredAnswer) -> Option<DeclaredState> {
         Some(DeclaredState {
             version: answer.version?,
-            age: Duration::from_millis(answer.age_ms),
-            in_force: Duration::from_millis(answer.in_force_ms),
+            age: time_from_ms(answer.age_ms),
+            in_force: time_from_ms(answer.in_force_ms),
             text: (!answer.text.is_empty()).then_some(answer.text),
         })
     }
--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -13,6 +13,7 @@
     stored::StoredRecord,
 };
 use crate::{
+    domain::saturating_sum,
     ports::{AccountAllowance, KeyedRecord, LendRequest, TopicPosition},
     telemetry::note_unreadable,
 };
@@ -438,27 +439,28 @@
     }
 
     fn total_taken(&self, account: &str) -> u64 {
-        self.account_records(account).map(|record| record.taken).sum()
+        saturating_sum(self.account_records(account).map(|r| r.taken))
     }
 
     fn total_lost(&self, account: &str) -> u64 {
-        self.account_records(account).map(|record| record.lost).sum()
+        saturating_sum(self.account_records(account).map(|r| r.lost))
     }
 
     /// Returns the tokens that are known to be spent. It is a lower bound,
     /// as the records of other VMs lag behind.
     fn known_spent(&self, account: &str) -> u64 {
         let others = self.other_records(account);
-        let others: u64 = others.map(|(_, record)| record.spent).sum();
+        let others = saturating_sum(others.map(|(_, record)| record.spent));
         let own = self.usage.get(account);
-        others + own.map_or(0, |own| own.baseline.spent + own.spent)
+        let own = own.map_or(0, |own| own.baseline.spent + own.spent);
+        others.saturating_add(own)
     }
 
     /// Returns the balance of an account with the given prepaid total.
     pub fn balance(&self, account: &str, prepaid: u64) -> AllowanceBalance {
         let taken = self.total_taken(account);
         let lost = self.total_lost(account);
-        let spent_or_lost = self.known_spent(account) + lost;
+        let spent_or_lost = self.known_spent(account).saturating_add(lost);
         AllowanceBalance {
             free: prepaid.saturating_sub(taken),
             held: taken.saturating_sub(spent_or_lost),
@@ -488,7 +490,7 @@
         tokens: u64,
     ) -> bool {
         let spent_or_lost =
-            self.known_spent(account) + self.total_lost(account);
+            self.known_spent(account).saturating_add(self.total_lost(account));
         prepaid.saturating_sub(spent_or_lost) < tokens
     }
 
@@ -620,7 +622,7 @@
     /// Returns the tokens that other VMs want and cannot get.
     fn wanted_by_others(&self, account: &str) -> u64 {
         let others = self.other_records(account);
-        others.map(|(_, record)| record.wanted).sum()
+        saturating_sum(others.map(|(_, record)| record.wanted))
     }
 
     /// Returns the records to append now. As long as earlier ones are
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -8,8 +8,15 @@
 //! lent to other holders. A *bill* charges one request to a portion and is
 //! numbered within it.
 
+mod bounds;
 mod ids;
 
-pub use self::ids::{
-    BillId, BudgetName, HolderId, ParseBillIdError, PortionId, account_of,
+pub use self::{
+    bounds::{
+        MAX_SLOTS, MAX_TIME, MAX_TOKENS, saturating_sum, time_from_ms,
+        time_from_secs,
+    },
+    ids::{
+        BillId, BudgetName, HolderId, ParseBillIdError, PortionId, account_of,
+    },
 };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,7 +16,7 @@
 
 /// The VMs that serve callers have at least one part in this many of the
 /// capacity of all entry VMs; the others are standbys.
-const SERVING_CAPACITY_DIVISOR: u32 = 4;
+const SERVING_CAPACITY_DIVISOR: u64 = 4;
 
 /// The rendezvous key of the selection that all callers share.
 const SELECTION_KEY: &str = "entry";
@@ -130,9 +130,9 @@
     min: usize,
 ) -> usize {
     let capacities = capacities.into_iter().map(|capacity| capacity.max(1));
-    let mut capacities: Vec<u32> = capacities.collect();
+    let mut capacities: Vec<u64> = capacities.map(u64::from).collect();
     capacities.sort_unstable_by(|a, b| b.cmp(a));
-    let total: u32 = capacities.iter().sum();
+    let total: u64 = capacities.iter().sum();
     let needed = total.div_ceil(SERVING_CAPACITY_DIVISOR);
     let mut size = 0;
     let mut selected = 0;
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::CallRequest;
+use crate::domain::MAX_TIME;
 
 /// Expected time to the first event of a request without a prompt.
 const FIRST_EVENT_BASE: Duration = Duration::from_millis(80);
@@ -81,6 +82,7 @@
     ) -> Duration {
         let slowness = self.slowness.get(service).copied().unwrap_or(1.0);
         let usual = expected.mul_f64(slowness * TIMEOUT_FACTOR);
-        usual.max(objective.mul_f64(MIN_OBJECTIVE_FRACTION))
+        let timeout = usual.max(objective.mul_f64(MIN_OBJECTIVE_FRACTION));
+        timeout.min(MAX_TIME)
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -253,7 +253,8 @@
             chunk.extend_from_slice(&event.bytes);
         }
         self.record_pace();
-        let output = self.position.events * self.tokens_per_event;
+        let output =
+            self.position.events.saturating_mul(self.tokens_per_event);
         let output = output.min(self.max_output_tokens);
         self.hold.set_used(self.prompt_tokens + output);
         chunk
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -11,6 +11,7 @@
 use crate::{
     adapters::http::HttpRequest,
     catalog::{AccountSpec, RouteSpec},
+    domain::saturating_sum,
     error::CallError,
 };
 
@@ -44,7 +45,7 @@
     /// assert_eq!(ceiling.total(), 120);
     /// ```
     pub fn total(self) -> u64 {
-        self.prompt + self.output
+        self.prompt.saturating_add(self.output)
     }
 }
 
@@ -110,7 +111,7 @@
 
     /// Returns the size of the shared parts in tokens.
     pub fn shared_tokens(&self) -> u64 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
+        saturating_sum(self.shared_parts().iter().map(|part| part.tokens))
     }
 
     /// Returns the identifier of the first part if it is shared.
--- a/src/moves/evidence.rs
+++ b/src/moves/evidence.rs
@@ -191,13 +191,14 @@
 
     /// Adds the counters of another router.
     pub fn add(&mut self, other: &RouteEvidence) {
-        self.requests += other.requests;
-        self.failures += other.failures;
-        self.errors += other.errors;
-        self.timeouts += other.timeouts;
-        self.timed += other.timed;
-        self.log_sum += other.log_sum;
-        self.log_squares += other.log_squares;
+        let add = |own: &mut u64, other| *own = own.saturating_add(other);
+        add(&mut self.requests, other.requests);
+        add(&mut self.failures, other.failures);
+        add(&mut self.errors, other.errors);
+        add(&mut self.timeouts, other.timeouts);
+        add(&mut self.timed, other.timed);
+        add(&mut self.log_sum, other.log_sum);
+        add(&mut self.log_squares, other.log_squares);
     }
 
     fn halve(&mut self) {
--- a/src/routing/table/mod.rs
+++ b/src/routing/table/mod.rs
@@ -202,14 +202,17 @@
     /// Returns the number of requests in progress at all upstreams.
     pub fn in_progress(&self) -> u32 {
         let state = self.state.borrow();
-        state.upstreams.values().map(|entry| entry.in_progress).sum()
+        let counts = state.upstreams.values().map(|entry| entry.in_progress);
+        counts.fold(0, u32::saturating_add)
     }
 
     /// Returns the number of free slots at all upstreams.
     pub fn free_slots(&self) -> u32 {
         let state = self.state.borrow();
         let live = state.upstreams.values().filter(|entry| !entry.removed);
-        live.map(|e| e.upstream.share.saturating_sub(e.in_progress)).sum()
+        let free =
+            live.map(|e| e.upstream.share.saturating_sub(e.in_progress));
+        free.fold(0, u32::saturating_add)
     }
 
     /// Claims a slot, waiting in the queue if none is free.
