LOST: the panic of one task ended the process and all requests in it

Cause: all requests of a process share one thread, and a panic in any task unwound through the runtime.

Change: runtime::spawn catches the panic of a task, spawn_loop starts a loop again, and a request whose task panics gets 502 if its answer has not begun.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -24,7 +24,7 @@
     connection::{BodyLength, body_length, write_all},
     encode::{encode_message, payload_of},
 };
-use crate::domain::MAX_TIME;
+use crate::{domain::MAX_TIME, runtime::spawn};
 
 /// Default maximum of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -196,7 +196,7 @@
         let (opened, awaited) = oneshot::channel();
         let client = self.clone();
         self.late_connects.set(self.late_connects.get() + 1);
-        monoio::spawn(async move {
+        spawn("late_connect", async move {
             let stream = open_stream(address, late_connect_timeout).await;
             client.late_connects.set(client.late_connects.get() - 1);
             // The request has timed out if the channel returns the value.
--- a/src/budget/keeper/follow.rs
+++ b/src/budget/keeper/follow.rs
@@ -13,6 +13,7 @@
 use crate::{
     domain::PortionId,
     ports::{LogCursors, LogFault, LogSlice},
+    runtime::spawn,
 };
 
 /// Delay of a requested append, so that records queued meanwhile share it.
@@ -128,7 +129,7 @@
                 continue;
             };
             let keeper = self.clone();
-            monoio::spawn(async move {
+            spawn("append", async move {
                 keeper.append(partition, batch).await;
             });
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,6 +13,7 @@
     membership::RosterChange,
     ports::{PeerAnswer, PeerCall, UpstreamEvent, VmList},
     routing::AssignedUpstream,
+    runtime::spawn,
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -71,7 +72,7 @@
                 dependency.note_fault(&fault);
                 log::debug!("upstream list: {fault}");
                 core.outage.borrow_mut().record_failure(Instant::now());
-                monoio::spawn(fetch_departures(core.clone()));
+                spawn("departures", fetch_departures(core.clone()));
             }
         }
         let reachable = core.keeper.is_topic_reachable();
@@ -192,7 +193,7 @@
         }
         self.update_retained_metric();
         if let Some(until) = retained_until {
-            monoio::spawn(expire_upstreams(self.clone(), until));
+            spawn("upstream_expiry", expire_upstreams(self.clone(), until));
         }
         if has_changed {
             self.refresh_upstreams();
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -27,6 +27,7 @@
         MoveEvidence, MoveState, RequestResult, Verdict, VersionEvidence,
     },
     ports::{EvidenceReport, MoveOrder, MoveStatus, PeerCall},
+    runtime::spawn,
     telemetry::{LogEvent, note_unreadable},
 };
 
@@ -438,7 +439,7 @@
             continue;
         };
         let (core, report) = (core.clone(), report.clone());
-        monoio::spawn(async move {
+        spawn("evidence_report", async move {
             let call = PeerCall::Evidence(report);
             // A lost report does no harm: evidence is cumulative, and a peer
             // that misses a rollback reads the status from the store.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 use crate::{
     domain::PortionId,
     ports::{LendReply, PeerAnswer, PeerCall, PeerHandler, PortFuture},
+    runtime::spawn,
 };
 
 impl PeerHandler for GatewayCore {
@@ -70,7 +71,7 @@
                 continue;
             };
             let (core, call) = (self.clone(), call.clone());
-            monoio::spawn(async move {
+            spawn("broadcast", async move {
                 let _ = core.ports.peers.call(peer, call).await;
             });
         }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     time::Instant,
@@ -24,6 +25,7 @@
         Starting, bind_exclusive, listen, new_holder_id,
     },
     routing::{PartQuarantine, UpstreamLimits, UpstreamTable},
+    runtime::{spawn, spawn_loop},
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
@@ -65,16 +67,17 @@
         self.start_listener(Some(addresses.operators), ListenerRole::Metrics)?;
         self.start_listener(addresses.entry, ListenerRole::Entry)?;
         self.start_listener(addresses.readiness, ListenerRole::Readiness)?;
-        monoio::spawn(follow::run_catalog(core.clone()));
-        monoio::spawn(confirm::run_confirmation(core.clone()));
-        monoio::spawn(follow::run_upstreams(core.clone()));
-        monoio::spawn(follow::run_vm_list(core.clone()));
-        monoio::spawn(moves::run_moves(core.clone()));
-        monoio::spawn(parts::run_exchange(core.clone()));
-        monoio::spawn(limits::run_exchange(core.clone()));
-        monoio::spawn(witness::run_witness(core.clone()));
-        monoio::spawn(core.keeper.clone().run());
-        monoio::spawn(core.keeper.clone().run_loan_recovery());
+        run_forever("catalog", &core, follow::run_catalog);
+        run_forever("confirmation", &core, confirm::run_confirmation);
+        run_forever("upstreams", &core, follow::run_upstreams);
+        run_forever("vm_list", &core, follow::run_vm_list);
+        run_forever("moves", &core, moves::run_moves);
+        run_forever("parts", &core, parts::run_exchange);
+        run_forever("limits", &core, limits::run_exchange);
+        run_forever("witness", &core, witness::run_witness);
+        run_forever("keeper", &core.keeper, AllowanceKeeper::run);
+        let recover = AllowanceKeeper::run_loan_recovery;
+        run_forever("loan_recovery", &core.keeper, recover);
         Ok(self.into_serving(callers))
     }
 
@@ -89,7 +92,7 @@
         };
         let listener = listen(address, bind_exclusive)?;
         let core = self.core.clone();
-        monoio::spawn(entry::run_listener(core, listener, role));
+        spawn("listener", entry::run_listener(core, listener, role));
         Ok(())
     }
 }
@@ -126,6 +129,16 @@
     }
 }
 
+/// Spawns a loop over shared state.
+fn run_forever<T: 'static, F: Future<Output = ()>>(
+    task: &'static str,
+    shared: &Rc<T>,
+    run: impl Fn(Rc<T>) -> F + 'static,
+) {
+    let shared = shared.clone();
+    spawn_loop(task, move || run(shared.clone()));
+}
+
 fn build_core(settings: RouterSettings, ports: GatewayPorts) -> GatewayCore {
     let id = new_holder_id(&settings.vm);
     let timer = TimerService::new();
--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -12,7 +12,10 @@
 use rand::seq::IteratorRandom;
 
 use super::GatewayCore;
-use crate::ports::{PeerAnswer, PeerCall};
+use crate::{
+    ports::{PeerAnswer, PeerCall},
+    runtime::spawn,
+};
 
 /// Interval between checks whether the store can be reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,7 +45,7 @@
         let era = core.ports.topics.era();
         if era > known_era {
             known_era = era;
-            monoio::spawn(ask_in_new_era(core.clone()));
+            spawn("era_question", ask_in_new_era(core.clone()));
         }
         if core.keeper.is_topic_reachable() {
             reported_at = None;
@@ -99,7 +102,7 @@
             continue;
         };
         let (core, report) = (core.clone(), report.clone());
-        monoio::spawn(async move {
+        spawn("allowance_report", async move {
             let call = PeerCall::Allowances(report);
             // The next report holds the same records and more.
             let _ = core.ports.peers.call(peer, call).await;
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -1,6 +1,7 @@
 //! Connections of callers.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -17,8 +18,9 @@
         RequestReader, accept_until, request_error,
     },
     catalog::CallerLimits,
-    error::CallError,
-    telemetry::LogEvent,
+    error::{CallError, ErrorKind},
+    runtime::{catch_panic, spawn},
+    telemetry::{LogEvent, RouterMetrics},
 };
 
 /// Accepts connections of callers until `stop` is notified.
@@ -37,10 +39,9 @@
             return;
         }
         let core = core.clone();
-        monoio::spawn(async move {
-            core.view().metrics.connections.inc();
+        spawn("connection", async move {
+            let _open = OpenConnection::new(core.view().metrics);
             serve_connection(&core, stream).await;
-            core.view().metrics.connections.dec();
         });
     };
     accept_until(listener, stop, serve).await;
@@ -64,17 +65,74 @@
         // its way.
         let keep_alive = request.keeps_alive() && !core.is_leaving();
         responder.reset(!keep_alive);
-        let ProcessView { load, .. } = core.view();
-        load.set(load.get() + 1);
-        let served = core.serve_call(request, &mut reader, &mut responder);
-        let is_usable = served.await;
-        load.set(load.get() - 1);
+        let is_usable =
+            serve_request(core, request, &mut reader, &mut responder).await;
         if !is_usable || !keep_alive {
             return;
         }
     }
 }
 
+/// Serves one request; returns `false` if the connection has to be closed.
+///
+/// A request whose task panics gets an answer too, which promises nothing.
+async fn serve_request<C: ProcessCore>(
+    core: &Rc<C>,
+    request: HttpRequest,
+    reader: &mut RequestReader,
+    responder: &mut HttpResponder,
+) -> bool {
+    let ProcessView { load, .. } = core.view();
+    let _load = RequestLoad::new(load);
+    let served = core.serve_call(request, reader, responder);
+    if let Some(is_usable) = catch_panic("request", served).await {
+        return is_usable;
+    }
+    if !responder.has_begun() {
+        let message = "the request met an internal error";
+        let error = CallError::new(ErrorKind::OutcomeUnknown, message);
+        responder.reset(true);
+        refuse(core, responder, "", &error).await;
+    }
+    false
+}
+
+/// An open connection of a caller, counted until this value is dropped.
+struct OpenConnection<'a> {
+    metrics: &'a RouterMetrics,
+}
+
+impl<'a> OpenConnection<'a> {
+    fn new(metrics: &'a RouterMetrics) -> OpenConnection<'a> {
+        metrics.connections.inc();
+        OpenConnection { metrics }
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.metrics.connections.dec();
+    }
+}
+
+/// A request in progress, counted until this value is dropped.
+struct RequestLoad<'a> {
+    load: &'a Cell<usize>,
+}
+
+impl<'a> RequestLoad<'a> {
+    fn new(load: &'a Cell<usize>) -> RequestLoad<'a> {
+        load.set(load.get() + 1);
+        RequestLoad { load }
+    }
+}
+
+impl Drop for RequestLoad<'_> {
+    fn drop(&mut self) {
+        self.load.set(self.load.get() - 1);
+    }
+}
+
 fn message_limits(limits: &CallerLimits) -> MessageLimits {
     MessageLimits {
         head_bytes: limits.max_head_bytes,
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -24,7 +24,7 @@
     error::CallError,
     membership::MemberTable,
     ports::{PeerHandler, PeerPort},
-    runtime::{EXIT_START, EXIT_UNSETTLED},
+    runtime::{EXIT_START, EXIT_UNSETTLED, spawn, spawn_loop},
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
 };
@@ -143,13 +143,18 @@
     {
         let core = &self.core;
         let ProcessView { timer, members, peers, .. } = core.view();
-        monoio::spawn(timer.clone().run());
-        monoio::spawn(members.clone().run(peers.clone(), timer.clone()));
+        let own_timer = timer.clone();
+        spawn_loop("timer", move || own_timer.clone().run());
+        let parts = (members.clone(), peers.clone(), timer.clone());
+        spawn_loop("membership", move || {
+            let (members, peers, timer) = parts.clone();
+            members.run(peers, timer)
+        });
         if let Some(inbound) = self.inbound.take() {
-            monoio::spawn(run_inbound(core.clone(), inbound));
+            spawn("inbound", run_inbound(core.clone(), inbound));
         }
         let stop = self.stop_listening.clone();
-        monoio::spawn(run_callers(core.clone(), callers, stop));
+        spawn("callers", run_callers(core.clone(), callers, stop));
         let address = core.view().settings.listen.callers;
         log::info!(
             event:% = LogEvent::ProcessStarted, address:%;
@@ -185,7 +190,7 @@
         self.core.set_leaving();
         self.core.view().members.set_leaving();
         let core = self.core.clone();
-        monoio::spawn(async move {
+        spawn("farewell", async move {
             let ProcessView { members, peers, .. } = core.view();
             members.broadcast(peers.as_ref()).await;
         });
@@ -235,7 +240,7 @@
 ) {
     while let Some(InboundCall { call, answer }) = inbound.recv().await {
         let core = core.clone();
-        monoio::spawn(async move {
+        spawn("peer_call", async move {
             // Fails only if the peer has stopped waiting.
             let _ = answer.send(core.handle(call).await);
         });
--- a/src/process/listen.rs
+++ b/src/process/listen.rs
@@ -15,8 +15,11 @@
     tokio::sync::Notify,
 };
 
-use crate::adapters::http::{
-    HttpConnection, HttpRequest, MessageLimits, accept_until,
+use crate::{
+    adapters::http::{
+        HttpConnection, HttpRequest, MessageLimits, accept_until,
+    },
+    runtime::spawn,
 };
 
 /// Longest wait for an address that another process still uses.
@@ -84,7 +87,7 @@
     let stop = Rc::new(Notify::new());
     let answer = Rc::new(answer);
     let serve = |stream| {
-        monoio::spawn(serve_connection(stream, answer.clone()));
+        spawn("connection", serve_connection(stream, answer.clone()));
     };
     accept_until(listener, stop, serve).await;
 }
--- a/src/router/moves.rs
+++ b/src/router/moves.rs
@@ -24,6 +24,7 @@
         MoveStep, MoveStepRecord, Verdict,
     },
     ports::{EvidenceReport, PeerCall, VmRole, VmState},
+    runtime::spawn,
     telemetry::LogEvent,
     timer::TimerService,
 };
@@ -110,7 +111,7 @@
         tripped: true,
     };
     let core = core.clone();
-    monoio::spawn(async move {
+    spawn("evidence_report", async move {
         broadcast(&core, &report).await;
     });
 }
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -27,6 +27,7 @@
         Starting, bind_exclusive, listen, new_holder_id,
     },
     routing::{RetryBudget, UpstreamTable},
+    runtime::spawn,
     streams::StreamFollower,
     telemetry::{LogEvent, RouterMetrics},
     timer::TimerService,
@@ -83,21 +84,21 @@
         let callers = listen(addresses.callers, bind_exclusive)?;
         let operators = listen(addresses.operators, bind_exclusive)?;
         let core = &self.core;
-        monoio::spawn(control::run_control(core.clone()));
-        monoio::spawn(control::run_vm_list(core.clone()));
-        monoio::spawn(control::run_catch_up(core.clone()));
-        monoio::spawn(control::run_seeds(core.clone()));
-        monoio::spawn(control::run_checkpoints(core.clone()));
-        monoio::spawn(core.keeper.clone().run_follow());
-        monoio::spawn(core.keeper.clone().run_flush());
-        monoio::spawn(core.keeper.clone().run_settle());
-        monoio::spawn(core.keeper.clone().run_relay());
+        spawn("control", control::run_control(core.clone()));
+        spawn("vm_list", control::run_vm_list(core.clone()));
+        spawn("catch_up", control::run_catch_up(core.clone()));
+        spawn("seeds", control::run_seeds(core.clone()));
+        spawn("checkpoints", control::run_checkpoints(core.clone()));
+        spawn("follow", core.keeper.clone().run_follow());
+        spawn("flush", core.keeper.clone().run_flush());
+        spawn("settle", core.keeper.clone().run_settle());
+        spawn("relay", core.keeper.clone().run_relay());
         let members = core.members.clone();
         let gone = move |id: &HolderId| members.has_ended(id);
-        monoio::spawn(core.keeper.clone().run_recovery(gone));
-        monoio::spawn(moves::run_driver(core.clone()));
-        monoio::spawn(run_upkeep(core.clone()));
-        monoio::spawn(operators::run_listener(core.clone(), operators));
+        spawn("recovery", core.keeper.clone().run_recovery(gone));
+        spawn("moves", moves::run_driver(core.clone()));
+        spawn("upkeep", run_upkeep(core.clone()));
+        spawn("operators", operators::run_listener(core.clone(), operators));
         Ok(self.into_serving(callers))
     }
 }
@@ -164,7 +165,7 @@
     mut operators: mpsc::Receiver<ProcessSignal>,
 ) -> mpsc::Receiver<ProcessSignal> {
     let (merged, signals) = mpsc::channel(4);
-    monoio::spawn(async move {
+    spawn("signals", async move {
         loop {
             let signal = monoio::select! {
                 signal = process.recv() => signal,
--- a/src/routing/table/mod.rs
+++ b/src/routing/table/mod.rs
@@ -20,7 +20,7 @@
 use super::{
     HealthChange, PlacementHint, QueuedRequest, RateShare, UpstreamOutcome,
 };
-use crate::error::CallError;
+use crate::{error::CallError, runtime::spawn};
 
 /// Time without new requests for an upstream that refused a connection.
 const REFUSAL_COOLDOWN: Duration = Duration::from_secs(1);
@@ -188,7 +188,7 @@
         let service = entry.upstream.service.clone();
         drop(state);
         let table = self.clone();
-        monoio::spawn(async move {
+        spawn("backoff", async move {
             monoio::time::sleep(time).await;
             table.serve_queue(&service);
         });
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,7 +1,9 @@
-//! The `monoio` runtime: starting a process, timers, overlapping calls.
+//! The `monoio` runtime: starting a process, tasks, timers, overlapping
+//! calls.
 
 mod launch;
 mod overlap;
+mod task;
 
 use std::{future::Future, io, time::Duration};
 
@@ -10,6 +12,7 @@
         EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
     },
     overlap::{OverlapOptions, OverlappedCalls, TimedAnswer},
+    task::{catch_panic, panic_count, spawn, spawn_loop},
 };
 
 /// Runs a future to completion on a new runtime with the legacy driver.
--- a/src/runtime/overlap.rs
+++ b/src/runtime/overlap.rs
@@ -72,6 +72,22 @@
     state: Rc<OverlapState<T>>,
 }
 
+/// A call in flight, which is over when this value is dropped.
+struct CallFlight<'a, T> {
+    state: &'a OverlapState<T>,
+    requested_at: Instant,
+}
+
+impl<T> Drop for CallFlight<'_, T> {
+    fn drop(&mut self) {
+        let CallFlight { state, requested_at } = self;
+        state.in_flight.set(state.in_flight.get() - 1);
+        if state.newest_started.get() == Some(*requested_at) {
+            state.newest_started.set(None);
+        }
+    }
+}
+
 impl<T: 'static> OverlappedCalls<T> {
     /// Creates a series without any call.
     pub fn new(options: OverlapOptions) -> OverlappedCalls<T> {
@@ -192,12 +208,11 @@
         state.is_extra.set(state.in_flight.get() > 0);
         state.in_flight.set(state.in_flight.get() + 1);
         state.newest_started.set(Some(requested_at));
-        monoio::spawn(async move {
-            let value = call.await;
-            state.in_flight.set(state.in_flight.get() - 1);
-            if state.newest_started.get() == Some(requested_at) {
-                state.newest_started.set(None);
-            }
+        super::spawn("overlapped_call", async move {
+            let value = {
+                let _flight = CallFlight { state: &state, requested_at };
+                call.await
+            };
             let answer = TimedAnswer { requested_at, value };
             state.answers.borrow_mut().push_back(answer);
             state.arrived.notify_one();
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -63,6 +63,8 @@
     LeaveRepeated = "leave_repeated" ["in_progress", "portions"];
     /// The process ends.
     ProcessEnded = "process_ended" ["cut", "settled"];
+    /// A task panicked. It ended alone, or starts again.
+    TaskPanicked = "task_panicked" ["task", "fault"];
     /// A thread of the process does not work any more.
     ThreadLost = "thread_lost" ["fault"];
     /// A connection could not be accepted.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,6 +7,8 @@
     Opts, Registry, TextEncoder,
 };
 
+use crate::runtime::panic_count;
+
 /// Client accounts with label values of their own. Further ones share the
 /// value `other`, so that the number of series is bounded.
 const LABELLED_ACCOUNTS: usize = 64;
@@ -53,6 +55,8 @@
     pub quarantined_parts: IntGauge,
     /// Upstreams that name a limit of requests per second.
     pub limited_upstreams: IntGauge,
+    /// Panics of tasks.
+    task_panics: IntGauge,
     /// The era of the store, which rises when it is restored from a copy.
     pub store_era: IntGauge,
     /// Whether the store of prepaid tokens answers.
@@ -154,6 +158,10 @@
                 "magnolia_limited_upstreams",
                 "Upstreams that name a limit of requests per second.",
             ),
+            task_panics: gauge(
+                "magnolia_task_panics",
+                "Panics of tasks, each of which ended alone.",
+            ),
             store_era: gauge(
                 "magnolia_store_era",
                 "Era of the store; it rises with each restore from a copy.",
@@ -188,6 +196,7 @@
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.store_era.clone()),
+            Box::new(self.task_panics.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
@@ -249,6 +258,7 @@
     /// All metrics in the text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
+        self.task_panics.set(panic_count() as i64);
         let families = self.registry.gather();
         // Writing to memory cannot fail.
         let _ = TextEncoder::new().encode(&families, &mut text);
