UNASKED: a request was written where the rest of another one's body was due

Cause: a head that belongs to another request, a late copy, ended the write of the request in progress. That it was half written was a flag of the reply, and was lost when the copy was skipped.

Change: a connection on which a request was sent is a type of its own, which goes on writing while heads and bodies are read. Only a request written to its end whose answer was read to its end gives the connection back to the pool.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -4,27 +4,22 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
-    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use {
     bytes::Bytes,
-    http::{HeaderMap, Request, StatusCode, response},
+    http::{Request, StatusCode},
     monoio::net::TcpStream,
-    monoio_http::h1::codec::decoder::{
-        ChunkedBodyDecoder, ResponseHeadDecoder,
-    },
     tokio::sync::oneshot,
 };
 
 use super::{
-    HttpConnection, HttpFault, MessageLimits,
-    connection::{BodyLength, body_length, write_all},
+    HttpConnection, HttpFault, HttpReply, MessageLimits, SentRequest,
     encode::{encode_message, payload_of},
 };
-use crate::{domain::MAX_TIME, runtime::spawn};
+use crate::runtime::spawn;
 
 /// Default maximum of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -33,11 +28,6 @@
 /// announces a shorter one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Percentage by which the idle timeout announced by the remote end is
-/// shortened. Near the end of that timeout the remote end may close the
-/// connection at any moment.
-const IDLE_MARGIN_PERCENT: u32 = 25;
-
 struct IdleConnection {
     connection: HttpConnection,
     expires_at: Instant,
@@ -67,24 +57,17 @@
     }
 }
 
-/// How far a request has been written.
-enum WriteProgress {
-    Writing,
-    Written,
-    Failed,
-}
-
 /// An HTTP client that keeps connections open for reuse.
 ///
 /// Clones share one connection pool.
 #[derive(Clone)]
 pub struct HttpClient {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
-    limits: MessageLimits,
+    pub(super) limits: MessageLimits,
     connect_timeout: Duration,
     max_idle: usize,
     idle_timeout: Duration,
-    accepts_close_delimited: bool,
+    pub(super) accepts_close_delimited: bool,
     late_connect_timeout: Option<Duration>,
     late_connects: Rc<Cell<usize>>,
 }
@@ -223,12 +206,15 @@
         None
     }
 
-    fn put_idle(
+    /// Adds a connection to the pool, for at most `idle_timeout` and the
+    /// client's own one.
+    pub(super) fn put_idle(
         &self,
         address: SocketAddr,
         connection: HttpConnection,
         idle_timeout: Duration,
     ) {
+        let idle_timeout = idle_timeout.min(self.idle_timeout);
         let mut pool = self.idle.borrow_mut();
         let list = pool.entry(address).or_default();
         let now = Instant::now();
@@ -256,22 +242,17 @@
         pool.retain(|_, list| !list.is_empty());
     }
 
-    /// Sends a request on a connection and reads the head of the response.
-    ///
-    /// The remote end may answer before it has read the whole request. The
-    /// connection is not reused in that case.
+    /// Begins to send a request on a connection.
     ///
     /// # Errors
     ///
-    /// After any fault, the remote end may or may not have acted on the
-    /// request.
-    pub async fn send(
+    /// `Socket` if the request cannot be encoded. No byte of it was sent.
+    pub async fn begin(
         &self,
         address: SocketAddr,
-        mut connection: HttpConnection,
+        connection: HttpConnection,
         mut request: Request<Bytes>,
-        head_timeout: Duration,
-    ) -> Result<HttpReply, HttpFault> {
+    ) -> Result<SentRequest, HttpFault> {
         let headers = request.headers_mut();
         if !headers.contains_key(http::header::HOST) {
             let host = http::HeaderValue::from_str(&address.to_string())
@@ -280,78 +261,27 @@
         }
         let message = request.map(payload_of);
         let encoded = encode_message(message).await?;
-        let deadline = Instant::now() + head_timeout;
-        let mut progress = WriteProgress::Writing;
-        let head = {
-            let decoder = ResponseHeadDecoder;
-            let HttpConnection { reader, writer } = &mut connection;
-            let mut write = pin!(write_all(writer, encoded));
-            let read = reader.read_head(decoder, &self.limits, deadline);
-            let mut read = pin!(read);
-            loop {
-                let writing = matches!(progress, WriteProgress::Writing);
-                monoio::select! {
-                    written = &mut write, if writing => {
-                        // Even if the write fails, the remote end may have
-                        // sent a response before it stopped reading.
-                        progress = match written {
-                            Ok(()) => WriteProgress::Written,
-                            Err(_) => WriteProgress::Failed,
-                        };
-                    }
-                    head = &mut read => break head?,
-                }
-            }
-        };
-        let is_written = matches!(progress, WriteProgress::Written);
-        self.open_reply(address, connection, head, is_written)
+        Ok(SentRequest::new(self.clone(), address, connection, encoded))
     }
 
-    /// Reads the head of a further response on a connection.
+    /// Sends a request on a connection and reads the head of the response.
+    ///
+    /// The remote end may answer before it has read the whole request. The
+    /// rest is written while the response is read.
     ///
     /// # Errors
     ///
-    /// As [`HttpClient::send`].
-    pub async fn read_reply(
-        &self,
-        address: SocketAddr,
-        mut connection: HttpConnection,
-        deadline: Instant,
-    ) -> Result<HttpReply, HttpFault> {
-        let reader = &mut connection.reader;
-        let decoder = ResponseHeadDecoder;
-        let head = reader.read_head(decoder, &self.limits, deadline).await?;
-        self.open_reply(address, connection, head, true)
-    }
-
-    fn open_reply(
+    /// After any fault, the remote end may or may not have acted on the
+    /// request.
+    pub async fn send(
         &self,
         address: SocketAddr,
         connection: HttpConnection,
-        head: response::Parts,
-        is_reusable: bool,
+        request: Request<Bytes>,
+        head_timeout: Duration,
     ) -> Result<HttpReply, HttpFault> {
-        let mut length = body_length(&head.headers)?;
-        if length == BodyLength::Absent && has_body(head.status) {
-            if !self.accepts_close_delimited {
-                let reason = "a response without a body length".to_owned();
-                return Err(HttpFault::Malformed { reason });
-            }
-            length = BodyLength::UntilClose;
-        }
-        let closes = head.headers.get(http::header::CONNECTION);
-        let closes = closes.is_some_and(|v| has_close_option(v.as_bytes()));
-        let body = ReplyBody {
-            connection: Some(connection),
-            keeps_alive: is_reusable && !closes,
-            idle_timeout: announced_idle_timeout(&head.headers)
-                .unwrap_or(self.idle_timeout),
-            decoder: ChunkedBodyDecoder::default(),
-            length,
-            address,
-            client: self.clone(),
-        };
-        Ok(HttpReply { status: head.status, headers: head.headers, body })
+        let sent = self.begin(address, connection, request).await?;
+        sent.next_reply(Instant::now() + head_timeout).await
     }
 
     /// Sends a request and reads the whole response within `timeouts`.
@@ -441,160 +371,3 @@
         Ok(stream) => Ok(stream?),
     }
 }
-
-/// Returns whether a response of this status has a body.
-fn has_body(status: StatusCode) -> bool {
-    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
-}
-
-/// Returns whether a `Connection` header has the option `close`.
-fn has_close_option(value: &[u8]) -> bool {
-    let mut options = value.split(|byte| *byte == b',');
-    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
-}
-
-/// Returns the idle timeout that a `Keep-Alive` header announces, less a
-/// margin.
-fn announced_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let mut options = value.split(',');
-    let seconds = options.find_map(|option| {
-        let seconds = option.trim().strip_prefix("timeout=")?;
-        seconds.parse::<u64>().ok()
-    })?;
-    let timeout = Duration::from_secs(seconds).min(MAX_TIME);
-    Some(timeout * (100 - IDLE_MARGIN_PERCENT) / 100)
-}
-
-/// The head of a response, with the body still to be read.
-pub struct HttpReply {
-    /// The status code.
-    pub status: StatusCode,
-    /// The headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: ReplyBody,
-}
-
-/// A response body that is read on demand, so that a slow consumer causes
-/// backpressure on the remote end instead of filling memory.
-pub struct ReplyBody {
-    connection: Option<HttpConnection>,
-    keeps_alive: bool,
-    idle_timeout: Duration,
-    decoder: ChunkedBodyDecoder,
-    length: BodyLength,
-    address: SocketAddr,
-    client: HttpClient,
-}
-
-impl ReplyBody {
-    /// Reads the next chunk of the body; returns `None` at its end.
-    ///
-    /// A body of known length is returned as one chunk. After the end of the
-    /// body the connection returns to the pool; if the body is dropped
-    /// before, the connection is closed.
-    ///
-    /// # Errors
-    ///
-    /// `TimedOut` after `deadline`, `Truncated` if the body is incomplete.
-    pub async fn next_chunk(
-        &mut self,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, HttpFault> {
-        let chunk = self.read_chunk(deadline).await?;
-        let ended = match self.length {
-            BodyLength::Chunked | BodyLength::UntilClose => chunk.is_none(),
-            BodyLength::Absent | BodyLength::Fixed(_) => true,
-        };
-        if ended && let Some(connection) = self.connection.take() {
-            self.return_to_pool(connection);
-        }
-        Ok(chunk)
-    }
-
-    async fn read_chunk(
-        &mut self,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, HttpFault> {
-        let Some(connection) = &mut self.connection else {
-            return Ok(None);
-        };
-        let limits = &self.client.limits;
-        let reader = &mut connection.reader;
-        match self.length {
-            BodyLength::Absent | BodyLength::Fixed(0) => Ok(None),
-            BodyLength::Fixed(length) => {
-                reader.read_fixed(length, limits, deadline).await.map(Some)
-            }
-            BodyLength::Chunked => {
-                let decoder = &mut self.decoder;
-                reader.read_chunk(decoder, limits, deadline).await
-            }
-            BodyLength::UntilClose => reader.read_available(deadline).await,
-        }
-    }
-
-    /// Returns the connection to the pool after the body has been read.
-    ///
-    /// A connection with surplus bytes after the body is closed, because
-    /// they belong to no response.
-    fn return_to_pool(&self, connection: HttpConnection) {
-        let has_surplus = connection.reader.has_surplus();
-        let close_delimited = self.length == BodyLength::UntilClose;
-        if self.keeps_alive && !has_surplus && !close_delimited {
-            let timeout = self.idle_timeout.min(self.client.idle_timeout);
-            self.client.put_idle(self.address, connection, timeout);
-        }
-    }
-
-    /// Reads and discards the rest of the body and returns the connection.
-    ///
-    /// # Errors
-    ///
-    /// As [`ReplyBody::next_chunk`]; `Closed` if the connection ends with the
-    /// body, `BodyTooLarge` if the rest of the body exceeds the limit.
-    pub async fn into_connection(
-        mut self,
-        deadline: Instant,
-    ) -> Result<HttpConnection, HttpFault> {
-        let is_fixed = matches!(self.length, BodyLength::Fixed(_));
-        let limit = self.client.limits.body_bytes;
-        let mut skipped = 0;
-        while let Some(chunk) = self.read_chunk(deadline).await? {
-            if is_fixed {
-                break;
-            }
-            skipped += chunk.len();
-            if skipped > limit {
-                return Err(HttpFault::BodyTooLarge { limit });
-            }
-        }
-        let is_closed = self.length == BodyLength::UntilClose;
-        let connection = self.connection.take().filter(|_| !is_closed);
-        connection.ok_or(HttpFault::Closed)
-    }
-
-    /// Reads the whole body.
-    ///
-    /// # Errors
-    ///
-    /// As [`ReplyBody::next_chunk`], and `BodyTooLarge`.
-    pub async fn collect(
-        mut self,
-        deadline: Instant,
-    ) -> Result<Bytes, HttpFault> {
-        let limit = self.client.limits.body_bytes;
-        let mut body = Vec::new();
-        while let Some(chunk) = self.next_chunk(deadline).await? {
-            if body.is_empty() && self.connection.is_none() {
-                return Ok(chunk);
-            }
-            if body.len() + chunk.len() > limit {
-                return Err(HttpFault::BodyTooLarge { limit });
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(Bytes::from(body))
-    }
-}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,12 +10,14 @@
 mod client;
 mod connection;
 mod encode;
+mod reply;
 mod server;
 
 pub use self::{
     accept::{accept_until, request_error},
-    client::{HttpClient, HttpReply, ReplyBody, ReplyTimeouts},
+    client::{HttpClient, ReplyTimeouts},
     connection::{HttpConnection, HttpFault, MessageLimits},
     encode::{json_response, text_response},
+    reply::{HttpReply, ReplyBody, SentRequest},
     server::{HttpRequest, HttpResponder, RequestReader, StreamWriter},
 };
--- /dev/null
+++ b/src/adapters/http/reply.rs
@@ -0,0 +1,329 @@
+//! Requests that have been sent, and their responses.
+//!
+//! A connection passes through three types: an [`HttpConnection`] carries no
+//! request, a [`SentRequest`] waits for the head of a response, and an
+//! [`HttpReply`] has a body to be read. Only a connection whose request was
+//! written to its end and whose response was read to its end becomes an
+//! [`HttpConnection`] again. On any other the remote end may take the bytes
+//! of the next request for the rest of this one.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    time::{Duration, Instant},
+};
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, StatusCode, response},
+    monoio::{io::OwnedWriteHalf, net::TcpStream},
+    monoio_http::h1::codec::decoder::{
+        ChunkedBodyDecoder, ResponseHeadDecoder,
+    },
+};
+
+use super::{
+    HttpClient, HttpConnection, HttpFault,
+    connection::{BodyLength, BoundedReader, body_length, write_all},
+};
+use crate::domain::MAX_TIME;
+
+/// Percentage by which the idle timeout announced by the remote end is
+/// shortened. Near the end of that timeout the remote end may close the
+/// connection at any moment.
+const IDLE_MARGIN_PERCENT: u32 = 25;
+
+/// A write in progress, which returns the write half at its end.
+type PendingWrite = Pin<
+    Box<dyn Future<Output = Result<OwnedWriteHalf<TcpStream>, HttpFault>>>,
+>;
+
+/// How far a request has been written.
+enum RequestWrite {
+    Writing(PendingWrite),
+    Written(OwnedWriteHalf<TcpStream>),
+    Failed,
+}
+
+impl RequestWrite {
+    fn new(
+        mut writer: OwnedWriteHalf<TcpStream>,
+        encoded: Bytes,
+    ) -> RequestWrite {
+        RequestWrite::Writing(Box::pin(async move {
+            write_all(&mut writer, encoded).await?;
+            Ok(writer)
+        }))
+    }
+
+    /// Waits for `read` and continues the write meanwhile.
+    ///
+    /// Even if the write fails, the remote end may have sent a response
+    /// before it stopped reading.
+    async fn run_beside<T>(&mut self, read: impl Future<Output = T>) -> T {
+        let mut read = pin!(read);
+        loop {
+            let RequestWrite::Writing(write) = self else {
+                return read.await;
+            };
+            monoio::select! {
+                written = write.as_mut() => *self = match written {
+                    Ok(writer) => RequestWrite::Written(writer),
+                    Err(_) => RequestWrite::Failed,
+                },
+                output = &mut read => return output,
+            }
+        }
+    }
+}
+
+/// A connection on which a request was sent, or is being sent, and which
+/// waits for the head of a response.
+pub struct SentRequest {
+    client: HttpClient,
+    address: SocketAddr,
+    reader: BoundedReader,
+    write: RequestWrite,
+    /// Whether the remote end closes the connection after a response.
+    closes: bool,
+}
+
+impl SentRequest {
+    /// Begins to write an encoded request. The write continues while a
+    /// response is awaited or read.
+    pub(super) fn new(
+        client: HttpClient,
+        address: SocketAddr,
+        connection: HttpConnection,
+        encoded: Bytes,
+    ) -> SentRequest {
+        let HttpConnection { reader, writer } = connection;
+        let write = RequestWrite::new(writer, encoded);
+        SentRequest { client, address, reader, write, closes: false }
+    }
+
+    /// Reads the head of the next response.
+    ///
+    /// # Errors
+    ///
+    /// After any fault, the remote end may or may not have acted on the
+    /// request.
+    pub async fn next_reply(
+        mut self,
+        deadline: Instant,
+    ) -> Result<HttpReply, HttpFault> {
+        let limits = &self.client.limits;
+        let head =
+            self.reader.read_head(ResponseHeadDecoder, limits, deadline);
+        let head = self.write.run_beside(head).await?;
+        self.into_reply(head)
+    }
+
+    fn into_reply(
+        mut self,
+        head: response::Parts,
+    ) -> Result<HttpReply, HttpFault> {
+        let mut length = body_length(&head.headers)?;
+        if length == BodyLength::Absent && has_body(head.status) {
+            if !self.client.accepts_close_delimited {
+                let reason = "a response without a body length".to_owned();
+                return Err(HttpFault::Malformed { reason });
+            }
+            length = BodyLength::UntilClose;
+        }
+        let closes = head.headers.get(http::header::CONNECTION);
+        let closes = closes.is_some_and(|v| has_close_option(v.as_bytes()));
+        self.closes |= closes || length == BodyLength::UntilClose;
+        let body = ReplyBody {
+            idle_timeout: announced_idle_timeout(&head.headers),
+            decoder: ChunkedBodyDecoder::default(),
+            length,
+            sent: Some(self),
+        };
+        Ok(HttpReply { status: head.status, headers: head.headers, body })
+    }
+
+    /// Returns the connection to the pool if it can carry another request.
+    ///
+    /// Surplus bytes after a response belong to no request.
+    fn into_pool(self, idle_timeout: Duration) {
+        let RequestWrite::Written(writer) = self.write else {
+            return;
+        };
+        if self.closes || self.reader.has_surplus() {
+            return;
+        }
+        let connection = HttpConnection { reader: self.reader, writer };
+        self.client.put_idle(self.address, connection, idle_timeout);
+    }
+}
+
+/// Returns whether a response of this status has a body.
+fn has_body(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// Returns whether a `Connection` header has the option `close`.
+fn has_close_option(value: &[u8]) -> bool {
+    let mut options = value.split(|byte| *byte == b',');
+    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+/// Returns the idle timeout that a `Keep-Alive` header announces, less a
+/// margin; the longest one if there is no such header.
+fn announced_idle_timeout(headers: &HeaderMap) -> Duration {
+    let announced = announced_seconds(headers);
+    let timeout = announced.map_or(MAX_TIME, Duration::from_secs);
+    timeout.min(MAX_TIME) * (100 - IDLE_MARGIN_PERCENT) / 100
+}
+
+/// Returns the seconds that a `Keep-Alive` header announces.
+fn announced_seconds(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut options = value.split(',');
+    options.find_map(|option| {
+        let seconds = option.trim().strip_prefix("timeout=")?;
+        seconds.parse().ok()
+    })
+}
+
+/// The head of a response, with the body still to be read.
+pub struct HttpReply {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: ReplyBody,
+}
+
+impl HttpReply {
+    /// Discards the response, which belongs to another request, and returns
+    /// to the wait for that of this one.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplyBody::next_chunk`]; `Closed` if the connection ends with the
+    /// body, `BodyTooLarge` if the body exceeds the limit.
+    pub async fn skip(
+        self,
+        deadline: Instant,
+    ) -> Result<SentRequest, HttpFault> {
+        self.body.skip(deadline).await
+    }
+}
+
+/// A response body that is read on demand, so that a slow consumer causes
+/// backpressure on the remote end instead of filling memory.
+pub struct ReplyBody {
+    /// The connection; `None` after the end of the body.
+    sent: Option<SentRequest>,
+    idle_timeout: Duration,
+    decoder: ChunkedBodyDecoder,
+    length: BodyLength,
+}
+
+impl ReplyBody {
+    /// Reads the next chunk of the body; returns `None` at its end.
+    ///
+    /// A body of known length is returned as one chunk. After the end of the
+    /// body the connection returns to the pool if it can carry another
+    /// request; if the body is dropped before, the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` after `deadline`, `Truncated` if the body is incomplete.
+    pub async fn next_chunk(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        let chunk = self.read_chunk(deadline).await?;
+        let ended = self.is_single_chunk() || chunk.is_none();
+        if ended && let Some(sent) = self.sent.take() {
+            sent.into_pool(self.idle_timeout);
+        }
+        Ok(chunk)
+    }
+
+    /// Returns whether the body is read as one chunk.
+    fn is_single_chunk(&self) -> bool {
+        matches!(self.length, BodyLength::Absent | BodyLength::Fixed(_))
+    }
+
+    async fn read_chunk(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        let Some(sent) = &mut self.sent else {
+            return Ok(None);
+        };
+        let SentRequest { client, reader, write, .. } = sent;
+        let limits = &client.limits;
+        match self.length {
+            BodyLength::Absent | BodyLength::Fixed(0) => Ok(None),
+            BodyLength::Fixed(length) => {
+                let body = reader.read_fixed(length, limits, deadline);
+                write.run_beside(body).await.map(Some)
+            }
+            BodyLength::Chunked => {
+                let decoder = &mut self.decoder;
+                let chunk = reader.read_chunk(decoder, limits, deadline);
+                write.run_beside(chunk).await
+            }
+            BodyLength::UntilClose => {
+                write.run_beside(reader.read_available(deadline)).await
+            }
+        }
+    }
+
+    /// Reads the body to its end and returns the connection.
+    async fn skip(
+        mut self,
+        deadline: Instant,
+    ) -> Result<SentRequest, HttpFault> {
+        let is_close_delimited = self.length == BodyLength::UntilClose;
+        let mut skipped = 0;
+        while let Some(chunk) = self.read_chunk(deadline).await? {
+            if self.is_single_chunk() {
+                break;
+            }
+            skipped += chunk.len();
+            let limit = self.body_limit();
+            if skipped > limit {
+                return Err(HttpFault::BodyTooLarge { limit });
+            }
+        }
+        let sent = self.sent.take().filter(|_| !is_close_delimited);
+        sent.ok_or(HttpFault::Closed)
+    }
+
+    /// Returns the maximum size of the body in bytes.
+    fn body_limit(&self) -> usize {
+        let sent = self.sent.as_ref();
+        sent.map_or(0, |sent| sent.client.limits.body_bytes)
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplyBody::next_chunk`], and `BodyTooLarge`.
+    pub async fn collect(
+        mut self,
+        deadline: Instant,
+    ) -> Result<Bytes, HttpFault> {
+        let limit = self.body_limit();
+        let mut body = Vec::new();
+        while let Some(chunk) = self.next_chunk(deadline).await? {
+            if body.is_empty() && self.sent.is_none() {
+                return Ok(chunk);
+            }
+            if body.len() + chunk.len() > limit {
+                return Err(HttpFault::BodyTooLarge { limit });
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(Bytes::from(body))
+    }
+}
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -171,3 +171,83 @@
     assert_eq!(size, None);
     assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
 }
+
+/// Bytes of a request body that no socket buffers.
+const LONG_BODY: usize = 16 * 1024 * 1024;
+
+/// Longest time for an answer to a long request.
+const LONG_TIME: Duration = Duration::from_secs(5);
+
+/// Reads a request head; returns the number of body bytes read with it.
+fn read_head(stream: &mut TcpStream) -> usize {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        let count = stream.read(&mut part).unwrap_or(0);
+        bytes.extend_from_slice(&part[..count]);
+        let end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+        if let Some(end) = end {
+            return bytes.len() - end - 4;
+        }
+        assert!(count > 0, "no whole head");
+    }
+}
+
+fn long_request() -> Request<Bytes> {
+    Request::post("/x").body(Bytes::from(vec![b'x'; LONG_BODY])).unwrap()
+}
+
+/// UNASKED: a remote end that answers early and reads on waited in vain for
+/// the rest of the request, which was no longer written.
+#[test]
+fn the_rest_of_a_request_is_written_while_its_answer_is_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let read = read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n");
+        let _ = stream.write_all(b"\r\n");
+        let mut rest = vec![0; LONG_BODY - read];
+        let whole = stream.read_exact(&mut rest).is_ok();
+        let _ = stream.write_all(b"ok");
+        whole && rest.iter().all(|byte| *byte == b'x')
+    });
+    let fetched = block_on(async {
+        let timeouts = ReplyTimeouts::within(LONG_TIME);
+        HttpClient::new().fetch(address, long_request(), timeouts).await
+    });
+    let (_, body) = fetched.unwrap().expect("an answer");
+    assert_eq!(body, Bytes::from_static(b"ok"));
+    assert!(server.join().unwrap(), "other bytes than the request's");
+}
+
+/// UNASKED: the next request was written where the rest of this one was due.
+#[test]
+fn a_connection_with_a_half_written_request_carries_no_other() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut first, _) = listener.accept().unwrap();
+        read_head(&mut first);
+        let answer = b"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
+        let _ = first.write_all(answer);
+        // The next request comes on a connection of its own.
+        let (mut second, _) = listener.accept().unwrap();
+        read_head(&mut second);
+        let _ = second.write_all(answer);
+        let mut rest = Vec::new();
+        let _ = first.read_to_end(&mut rest);
+        rest.iter().all(|byte| *byte == b'x')
+    });
+    block_on(async {
+        let client = HttpClient::new();
+        let timeouts = ReplyTimeouts::within(LONG_TIME);
+        let early = client.fetch(address, long_request(), timeouts).await;
+        assert_eq!(early.unwrap().0, 413);
+        let next = client.get(address, "/next", LONG_TIME).await;
+        assert_eq!(next.unwrap().0, 413);
+    })
+    .unwrap();
+    assert!(server.join().unwrap(), "other bytes than the request's");
+}
