BUDGET: the first event of an answer cleared the part that crashes upstreams

Cause: the beginning of an answer was the sign of a sound part. An upstream that crashes behind the first event gives it too; the loss that followed was not counted, and the rest of the stream, resumed elsewhere, cleared the part once more.

Change: a part is cleared by a whole answer of one upstream; every crash before the end of an answer counts, once for a part, however many requests and routers report it. Requests of one upstream share a probe and a report, which names the upstream.

--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -246,6 +246,11 @@
         Ok(chunk)
     }
 
+    /// Returns whether the body has an end other than that of its connection.
+    pub fn is_delimited(&self) -> bool {
+        self.length != BodyLength::UntilClose
+    }
+
     /// Returns whether the body is read as one chunk.
     fn is_single_chunk(&self) -> bool {
         matches!(self.length, BodyLength::Absent | BodyLength::Fixed(_))
@@ -282,7 +287,7 @@
         mut self,
         deadline: Instant,
     ) -> Result<SentRequest, HttpFault> {
-        let is_close_delimited = self.length == BodyLength::UntilClose;
+        let is_delimited = self.is_delimited();
         let mut skipped = 0;
         while let Some(chunk) = self.read_chunk(deadline).await? {
             if self.is_single_chunk() {
@@ -294,7 +299,7 @@
                 return Err(HttpFault::BodyTooLarge { limit });
             }
         }
-        let sent = self.sent.take().filter(|_| !is_close_delimited);
+        let sent = self.sent.take().filter(|_| is_delimited);
         sent.ok_or(HttpFault::Closed)
     }
 
--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -211,15 +211,15 @@
 
 impl From<PartReport> for wire::PartsCall {
     fn from(report: PartReport) -> wire::PartsCall {
-        let PartReport { lost, answered } = report;
-        wire::PartsCall { lost, answered }
+        let PartReport { upstream, lost, answered } = report;
+        wire::PartsCall { lost, answered, upstream }
     }
 }
 
 impl From<wire::PartsCall> for PartReport {
     fn from(call: wire::PartsCall) -> PartReport {
-        let wire::PartsCall { lost, answered } = call;
-        PartReport { lost, answered }
+        let wire::PartsCall { lost, answered, upstream } = call;
+        PartReport { upstream, lost, answered }
     }
 }
 
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -179,12 +179,16 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PartsCall {
-    /// Parts of a request whose upstream was lost before it answered.
+    /// Parts of requests whose upstream crashed before it had answered them in
+    /// full.
     #[prost(string, repeated, tag = "1")]
     pub lost: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Parts that were suspected and have been answered.
     #[prost(string, repeated, tag = "2")]
     pub answered: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The upstream that crashed; empty if none did.
+    #[prost(string, tag = "3")]
+    pub upstream: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PartsAnswer {
@@ -542,8 +546,8 @@
                 .insert(GrpcMethod::new("magnolia.peer.Peer", "Claim"));
             self.inner.unary(req, path, codec).await
         }
-        /// Reports prompt parts that upstreams were lost on or have answered, and
-        /// asks which parts are in quarantine.
+        /// Reports prompt parts that an upstream crashed on, or that upstreams have
+        /// answered, and asks which parts are in quarantine.
         pub async fn parts(
             &mut self,
             request: impl tonic::IntoRequest<super::PartsCall>,
@@ -692,8 +696,8 @@
             tonic::Response<super::ClaimAnswer>,
             tonic::Status,
         >;
-        /// Reports prompt parts that upstreams were lost on or have answered, and
-        /// asks which parts are in quarantine.
+        /// Reports prompt parts that an upstream crashed on, or that upstreams have
+        /// answered, and asks which parts are in quarantine.
         async fn parts(
             &self,
             request: tonic::Request<super::PartsCall>,
--- a/src/adapters/upstream.rs
+++ b/src/adapters/upstream.rs
@@ -184,4 +184,8 @@
     ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>> {
         Box::pin(async move { Ok(self.body.next_chunk(deadline).await?) })
     }
+
+    fn is_delimited(&self) -> bool {
+        self.body.is_delimited()
+    }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,7 +9,8 @@
 
 use super::{
     CallRequest, DeclarationTracker, GatewayFront, LatencyEstimator,
-    LeavePlan, StaleReason, VersionChoice, moves::ServiceMoves,
+    LeavePlan, StaleReason, VersionChoice, crashes::CrashProbes,
+    moves::ServiceMoves,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -146,6 +147,8 @@
     pub(super) outage: RefCell<OutageTracker>,
     /// The prompt parts that upstreams were lost on.
     pub(super) quarantine: RefCell<PartQuarantine>,
+    /// Probes of upstreams whose connections broke.
+    pub(super) crash_probes: RefCell<CrashProbes>,
     /// The rate limits that upstreams have named.
     pub(super) limits: RefCell<UpstreamLimits>,
     pub(super) latencies: RefCell<LatencyEstimator>,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -388,8 +388,7 @@
         );
     }
 
-    /// Records that an upstream was lost before the first event of the
-    /// answer.
+    /// Records that an upstream was lost before the end of the answer.
     async fn record_loss(
         &self,
         upstream: &AssignedUpstream,
@@ -400,6 +399,25 @@
         }
     }
 
+    /// Records that the upstream has answered in full.
+    ///
+    /// The rest of a stream that broke off at another upstream is no whole
+    /// answer.
+    async fn record_end(
+        &self,
+        upstream: &AssignedUpstream,
+        is_delimited: bool,
+    ) {
+        if self.position.last_event.is_some() {
+            return;
+        }
+        if is_delimited {
+            self.core.record_part_answer(self.request);
+        } else {
+            self.core.record_part_close(self.request, upstream).await;
+        }
+    }
+
     /// Handles an upstream that did not run the request.
     ///
     /// A retry after a refusal is charged to the retry budget, but one after
@@ -474,6 +492,7 @@
         let upstream = attempt.slot.upstream().vm.clone();
         let deadline = request.answer_deadline();
         let limit = self.core.settings.limits.answer_bytes;
+        let is_delimited = body.is_delimited();
         let body = match read_body(body.as_mut(), deadline, limit).await {
             Ok(body) => body,
             Err(fault) => {
@@ -482,7 +501,7 @@
                 return self.handle_fault(attempt, upstream, &fault);
             }
         };
-        self.core.record_part_answer(request);
+        self.record_end(attempt.slot.upstream(), is_delimited).await;
         if status.is_server_error() {
             attempt.record_outcome(UpstreamOutcome::Failed);
             self.log_failed_attempt(&upstream, status.as_str());
@@ -548,7 +567,7 @@
         };
         if has_event {
             attempt.record_answer();
-            self.core.record_part_answer(request);
+            self.core.record_part_begin(request);
             let account = request.account_name();
             let took = request.arrived_at.elapsed();
             if self.progress.answered_after.get().is_zero() {
@@ -572,11 +591,13 @@
                 end = relay.run(body.as_mut(), responder, deadline).await;
             }
         }
-        self.position = relay.position();
-        self.progress.events.set(self.position.events);
+        let position = relay.position();
+        self.progress.events.set(position.events);
+        let is_delimited = body.is_delimited();
         drop(body);
         let fault = match end {
             RelayEnd::Complete => {
+                self.record_end(attempt.slot.upstream(), is_delimited).await;
                 return NextStep::End(CallEnd::Answered(status));
             }
             RelayEnd::CallerGone => {
@@ -584,6 +605,7 @@
             }
             RelayEnd::Broken(fault) => {
                 attempt.record_outcome(UpstreamOutcome::Lost);
+                self.record_loss(attempt.slot.upstream(), &fault).await;
                 fault
             }
             RelayEnd::Overrun => {
@@ -597,6 +619,7 @@
             }
             RelayEnd::Silent => UpstreamFault::TimedOut,
         };
+        self.position = position;
         self.handle_fault(attempt, upstream, &fault)
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod callers;
 mod confirm;
 mod core;
+mod crashes;
 mod declared;
 mod dispatch;
 mod entry;
--- a/src/gateway/parts.rs
+++ b/src/gateway/parts.rs
@@ -1,7 +1,7 @@
 //! Rejects requests with prompt parts that crash upstreams, and shares what
 //! routers know of such parts.
 //!
-//! Losses are rare, so each is reported to all routers at once: requests with
+//! Crashes are rare, so each is reported to all routers at once: requests with
 //! the part arrive at any of them. A router that missed a report learns of a
 //! quarantine from a peer.
 
@@ -10,11 +10,14 @@
     time::{Duration, Instant},
 };
 
-use super::{CallRequest, GatewayCore};
+use super::{CallRequest, GatewayCore, crashes::JoinedProbe};
 use crate::{
     error::{CallError, ErrorKind},
     ports::{PartReport, PeerAnswer, PeerCall},
-    routing::{AssignedUpstream, LossObserver, QuarantinedPart},
+    routing::{
+        AssignedUpstream, LossObserver, QuarantinedPart, UpstreamCrash,
+    },
+    runtime::spawn,
     telemetry::LogEvent,
 };
 
@@ -44,6 +47,24 @@
     }
 }
 
+/// Probes an upstream whose connections broke, and suspects the parts of the
+/// requests that it was serving if it refuses a connection.
+async fn probe_upstream(core: Rc<GatewayCore>, upstream: AssignedUpstream) {
+    let connect = core.ports.upstreams.connect(upstream.address);
+    let connected = monoio::time::timeout(REFUSAL_TIMEOUT, connect).await;
+    let has_crashed = matches!(connected, Ok(Err(_)));
+    let mut probes = core.crash_probes.borrow_mut();
+    let Some(decided) = probes.decide(&upstream.vm, has_crashed) else {
+        return;
+    };
+    drop(probes);
+    if has_crashed {
+        core.report_crash(&upstream.vm, decided.lost);
+    }
+    // Requests that wait for the verdict find the quarantine updated.
+    decided.verdict.set(has_crashed);
+}
+
 impl GatewayCore {
     /// Rejects a request with a part in quarantine.
     pub(super) fn reject_if_quarantined(
@@ -63,7 +84,8 @@
         quarantine.find(request.shared_part_ids(), Instant::now()).is_some()
     }
 
-    /// Records that an upstream was lost before it answered a request.
+    /// Records that an upstream was lost before it had answered a request in
+    /// full.
     ///
     /// Parts are suspected only if the upstream has crashed. One that loses
     /// answers but still accepts connections may lose any answer.
@@ -74,12 +96,7 @@
     ) {
         let lost: Vec<String> =
             request.shared_part_ids().map(str::to_owned).collect();
-        if lost.is_empty() {
-            return;
-        }
-        let connect = self.ports.upstreams.connect(upstream.address);
-        let connected = monoio::time::timeout(REFUSAL_TIMEOUT, connect).await;
-        if !matches!(connected, Ok(Err(_))) {
+        if lost.is_empty() || !self.has_crashed(upstream, &lost).await {
             return;
         }
         log::info!(
@@ -87,15 +104,58 @@
             request_id = request.id.as_str(),
             upstream = upstream.vm.as_str(),
             parts = lost.join(",").as_str();
-            "upstream crashed before the first event of an answer"
+            "upstream crashed before the end of an answer"
         );
         self.metrics.note_event("parts_suspected");
-        self.apply_part_losses(&lost, LossObserver::Own, &self.id.vm);
-        let report = PartReport { lost, answered: Vec::new() };
+    }
+
+    /// Returns whether an upstream has crashed. If it has, the parts `lost`
+    /// of a request that it was serving are suspected.
+    ///
+    /// A crash breaks off many requests at once. One of them probes the
+    /// upstream, and all their parts are reported together.
+    async fn has_crashed(
+        self: &Rc<Self>,
+        upstream: &AssignedUpstream,
+        lost: &[String],
+    ) -> bool {
+        let now = Instant::now();
+        let joined = self.crash_probes.borrow_mut().join(upstream, lost, now);
+        match joined {
+            JoinedProbe::Decided(has_crashed) => {
+                if has_crashed {
+                    self.report_crash(&upstream.vm, lost.to_vec());
+                }
+                has_crashed
+            }
+            JoinedProbe::Pending(verdict) => verdict.wait().await,
+            JoinedProbe::New(verdict) => {
+                let probe = probe_upstream(self.clone(), upstream.clone());
+                spawn("crash_probe", probe);
+                verdict.wait().await
+            }
+        }
+    }
+
+    /// Suspects parts of requests that a crashed upstream was serving, here
+    /// and at the other routers.
+    fn report_crash(self: &Rc<Self>, upstream: &str, lost: Vec<String>) {
+        let observer = LossObserver::Own;
+        let crash = UpstreamCrash { upstream, observer };
+        self.apply_part_losses(&lost, crash, &self.id.vm);
+        let upstream = upstream.to_owned();
+        let report = PartReport { upstream, lost, answered: Vec::new() };
         self.broadcast(&PeerCall::Parts(report));
     }
 
     /// Records that an upstream has begun to answer a request.
+    pub(super) fn record_part_begin(&self, request: &CallRequest) {
+        let now = Instant::now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.record_begin(request.shared_part_ids(), now);
+    }
+
+    /// Records that an upstream has answered a request in full.
     pub(super) fn record_part_answer(self: &Rc<Self>, request: &CallRequest) {
         let now = Instant::now();
         let mut quarantine = self.quarantine.borrow_mut();
@@ -112,10 +172,28 @@
             parts = answered.join(",").as_str();
             "prompt parts answered, no longer suspected"
         );
-        let report = PartReport { lost: Vec::new(), answered };
+        let report = PartReport { answered, ..PartReport::default() };
         self.broadcast(&PeerCall::Parts(report));
     }
 
+    /// Records the end of an answer that has no length and ends with its
+    /// connection. The crash of an upstream looks the same.
+    pub(super) async fn record_part_close(
+        self: &Rc<Self>,
+        request: &CallRequest,
+        upstream: &AssignedUpstream,
+    ) {
+        let is_suspected = {
+            let quarantine = self.quarantine.borrow();
+            quarantine.is_suspected(request.shared_part_ids())
+        };
+        let lost: Vec<String> =
+            request.shared_part_ids().map(str::to_owned).collect();
+        if is_suspected && !self.has_crashed(upstream, &lost).await {
+            self.record_part_answer(request);
+        }
+    }
+
     /// Applies the report of another router and returns the parts that are
     /// in quarantine here.
     pub(super) fn apply_part_report(&self, report: &PartReport) -> PeerAnswer {
@@ -124,7 +202,11 @@
         let answered = report.answered.iter().map(String::as_str);
         quarantine.record_answer(answered, now);
         drop(quarantine);
-        self.apply_part_losses(&report.lost, LossObserver::Peer, "peer");
+        let crash = UpstreamCrash {
+            upstream: &report.upstream,
+            observer: LossObserver::Peer,
+        };
+        self.apply_part_losses(&report.lost, crash, "peer");
         self.update_quarantine_metric();
         PeerAnswer::Quarantined(self.quarantine.borrow().quarantined(now))
     }
@@ -132,12 +214,12 @@
     fn apply_part_losses(
         &self,
         lost: &[String],
-        observer: LossObserver,
+        crash: UpstreamCrash<'_>,
         from: &str,
     ) {
         let lost = lost.iter().map(String::as_str);
         let mut quarantine = self.quarantine.borrow_mut();
-        let started = quarantine.record_loss(lost, observer, Instant::now());
+        let started = quarantine.record_crash(lost, crash, Instant::now());
         drop(quarantine);
         self.log_quarantined(&started, from);
     }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -10,6 +10,7 @@
 
 use super::{
     DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
+    crashes::CrashProbes,
     entry::{self, ListenerRole},
     follow, limits, moves, parts, witness,
 };
@@ -180,6 +181,7 @@
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageTracker::new()),
         quarantine: RefCell::new(PartQuarantine::new()),
+        crash_probes: RefCell::new(CrashProbes::new()),
         limits: RefCell::new(UpstreamLimits::new()),
         latencies: RefCell::new(LatencyEstimator::new()),
         retry_budgets: RefCell::default(),
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -172,7 +172,9 @@
 /// What a router has seen of requests with certain prompt parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartReport {
-    /// Parts of a request whose upstream was lost before it answered.
+    /// The upstream that crashed; empty if none did.
+    pub upstream: String,
+    /// Parts of requests that it had not answered in full.
     pub lost: Vec<String>,
     /// Parts that were suspected and have been answered.
     pub answered: Vec<String>,
--- a/src/ports/upstream.rs
+++ b/src/ports/upstream.rs
@@ -92,6 +92,10 @@
         &mut self,
         deadline: Instant,
     ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>>;
+
+    /// Returns whether the end of the body can be told from the end of the
+    /// connection.
+    fn is_delimited(&self) -> bool;
 }
 
 /// An open connection to an upstream on which nothing has been sent.
--- a/src/router/chat/answer.rs
+++ b/src/router/chat/answer.rs
@@ -214,4 +214,8 @@
     ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>> {
         Box::pin(std::future::ready(Ok(None)))
     }
+
+    fn is_delimited(&self) -> bool {
+        true
+    }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -39,7 +39,9 @@
     placement::{
         PlacementCandidate, PlacementHint, PlacementRank, placement_rank,
     },
-    quarantine::{LossObserver, PartQuarantine, QuarantinedPart},
+    quarantine::{
+        LossObserver, PartQuarantine, QuarantinedPart, UpstreamCrash,
+    },
     queue::{AdmissionQueue, QueuedRequest},
     retry::RetryBudget,
     subset::{SubsetPlan, UpstreamShare, upstream_shares},
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -2,26 +2,34 @@
 //!
 //! A request that crashes the upstream that serves it is retried elsewhere
 //! and crashes the next one. What such requests have in common is a part of
-//! their prompts. A part is quarantined if several requests with it in a row
-//! lost their upstreams before the first event of an answer, and none was
-//! answered in between. A part that sound requests share is answered again
-//! and again, so it never gets there.
+//! their prompts. A part is quarantined if several upstreams in a row crashed
+//! while they served requests with it, and none answered such a request in
+//! full in between. A part that sound requests share is answered again and
+//! again, so it never gets there, although a crash also breaks off the sound
+//! requests at its upstream.
+//!
+//! Only a whole answer of one upstream is a sign of soundness. Any number of
+//! events may leave an upstream before it crashes.
 //!
 //! Parts that were lost together every time cannot be told apart. The next
 //! request with only some of them is admitted and shows which one it is.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
 /// Number of losses in a row after which a part is quarantined.
 const MAX_LOSSES: u32 = 3;
 
-/// Losses within this time count as one. They may have a common cause that
+/// Crashes within this time count as one. They may have a common cause that
 /// has nothing to do with the part, such as a failure domain without power.
 const COINCIDENCE_WINDOW: Duration = Duration::from_millis(200);
 
+/// Reports of the same upstream within this time are of the same crash: each
+/// request that it served may report it, at any router.
+const REPORT_WINDOW: Duration = Duration::from_secs(1);
+
 /// Time without a loss after which earlier ones no longer count.
 const LOSS_LIFETIME: Duration = Duration::from_secs(30);
 
@@ -42,6 +50,15 @@
 /// Maximum number of parts with a record.
 const MAX_RECORDS: usize = 4_096;
 
+/// The crash of an upstream that was serving requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamCrash<'a> {
+    /// The upstream.
+    pub upstream: &'a str,
+    /// Who has observed the crash.
+    pub observer: LossObserver,
+}
+
 /// A part whose requests are rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedPart {
@@ -77,9 +94,13 @@
     /// Losses in a row.
     losses: u32,
     lost_at: Instant,
+    /// The upstreams that the last loss is made of.
+    crashed: BTreeSet<String>,
     /// Number of quarantines so far.
     quarantines: u32,
     quarantined_until: Option<Instant>,
+    /// Whether an admitted request is testing the part.
+    is_probed: bool,
     /// Other parts whose quarantine started with the same loss.
     companions: Vec<String>,
 }
@@ -89,8 +110,10 @@
         PartRecord {
             losses: 0,
             lost_at: now,
+            crashed: BTreeSet::new(),
             quarantines: 0,
             quarantined_until: None,
+            is_probed: false,
             companions: Vec::new(),
         }
     }
@@ -107,10 +130,29 @@
         is_old && self.quarantines == 0
     }
 
-    /// Counts a loss; returns `true` if it starts a quarantine.
-    fn record_loss(&mut self, observer: LossObserver, now: Instant) -> bool {
+    /// Returns whether a crash is part of the last loss.
+    fn is_known(&self, crash: UpstreamCrash<'_>, now: Instant) -> bool {
         let since_last = now.saturating_duration_since(self.lost_at);
-        if self.losses > 0 && since_last < COINCIDENCE_WINDOW {
+        let window = if self.crashed.contains(crash.upstream) {
+            REPORT_WINDOW
+        } else {
+            COINCIDENCE_WINDOW
+        };
+        self.losses > 0 && since_last < window
+    }
+
+    /// Counts a crash; returns `true` if it starts a quarantine.
+    fn record_crash(
+        &mut self,
+        crash: UpstreamCrash<'_>,
+        now: Instant,
+    ) -> bool {
+        let is_known = self.is_known(crash, now);
+        if !is_known {
+            self.crashed.clear();
+        }
+        self.crashed.insert(crash.upstream.to_owned());
+        if is_known {
             return false;
         }
         self.losses += 1;
@@ -121,8 +163,10 @@
         }
         let factor = 2_u32.saturating_pow(self.quarantines);
         let duration = BASE_QUARANTINE.saturating_mul(factor);
-        let duration = duration.min(MAX_QUARANTINE) + observer.probe_delay();
+        let probe_delay = crash.observer.probe_delay();
+        let duration = duration.min(MAX_QUARANTINE) + probe_delay;
         self.quarantines += 1;
+        self.is_probed = false;
         self.quarantined_until = Some(now + duration);
         true
     }
@@ -141,14 +185,18 @@
 /// ```
 /// use std::time::{Duration, Instant};
 ///
-/// use magnoliahaven::routing::{LossObserver, PartQuarantine};
+/// use magnoliahaven::routing::{
+///     LossObserver, PartQuarantine, UpstreamCrash,
+/// };
 ///
 /// let mut quarantine = PartQuarantine::new();
 /// let mut now = Instant::now();
-/// for _ in 0..3 {
+/// for upstream in ["w-1", "w-2", "w-3"] {
 ///     assert!(quarantine.admit(["p1"], now).is_ok());
 ///     now += Duration::from_secs(1);
-///     quarantine.record_loss(["p1"], LossObserver::Own, now);
+///     let observer = LossObserver::Own;
+///     let crash = UpstreamCrash { upstream, observer };
+///     quarantine.record_crash(["p1"], crash, now);
 /// }
 /// assert!(quarantine.admit(["p1"], now).is_err());
 /// ```
@@ -217,9 +265,42 @@
                 continue;
             };
             record.quarantined_until = Some(until.max(now + PROBE_WINDOW));
+            record.is_probed = true;
         }
     }
 
+    /// Records that an upstream has begun to answer a request with these
+    /// parts.
+    ///
+    /// Requests that wait for a probe with the part are no longer held back.
+    /// The losses still count, so that the next one quarantines it again.
+    pub fn record_begin<'a>(
+        &mut self,
+        parts: impl IntoIterator<Item = &'a str>,
+        now: Instant,
+    ) {
+        if self.records.is_empty() {
+            return;
+        }
+        for part in parts {
+            let Some(record) = self.records.get_mut(part) else {
+                continue;
+            };
+            if record.is_probed {
+                record.is_probed = false;
+                record.quarantined_until = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether upstreams were lost on one of these parts.
+    pub fn is_suspected<'a>(
+        &self,
+        parts: impl IntoIterator<Item = &'a str>,
+    ) -> bool {
+        parts.into_iter().any(|part| self.records.contains_key(part))
+    }
+
     /// Returns the first of the parts that is in quarantine.
     pub fn find<'a>(
         &self,
@@ -236,12 +317,12 @@
         None
     }
 
-    /// Records that a request with these parts lost its upstream before the
-    /// first event of the answer; returns the parts whose quarantine starts.
-    pub fn record_loss<'a>(
+    /// Records that an upstream crashed before it had answered requests with
+    /// these parts in full; returns the parts whose quarantine starts.
+    pub fn record_crash<'a>(
         &mut self,
         parts: impl IntoIterator<Item = &'a str>,
-        observer: LossObserver,
+        crash: UpstreamCrash<'_>,
         now: Instant,
     ) -> Vec<QuarantinedPart> {
         self.remove_expired(now);
@@ -253,7 +334,7 @@
             }
             let record = self.records.entry(part.to_owned());
             let record = record.or_insert_with(|| PartRecord::new(now));
-            if !record.record_loss(observer, now) {
+            if !record.record_crash(crash, now) {
                 continue;
             }
             let time_left = record.time_left(now).unwrap_or_default();
@@ -275,8 +356,8 @@
         }
     }
 
-    /// Records that a request with these parts was answered, which clears
-    /// them; returns those that had a record.
+    /// Records that a request with these parts was answered in full, which
+    /// clears them; returns those that had a record.
     pub fn record_answer<'a>(
         &mut self,
         parts: impl IntoIterator<Item = &'a str>,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,11 +3,16 @@
 use std::time::{Duration, Instant};
 
 use {
-    magnoliahaven::routing::{LossObserver, PartQuarantine, QuarantinedPart},
+    magnoliahaven::routing::{
+        LossObserver, PartQuarantine, QuarantinedPart, UpstreamCrash,
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
-const OWN: LossObserver = LossObserver::Own;
+/// Returns the crash of an upstream that this router has observed.
+fn crash(upstream: &str) -> UpstreamCrash<'_> {
+    UpstreamCrash { upstream, observer: LossObserver::Own }
+}
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -21,9 +26,11 @@
     start: Instant,
 ) -> Instant {
     let mut now = start;
-    for _ in 0..count {
+    for number in 0..count {
         now += ms(1_000);
-        quarantine.record_loss(parts.iter().copied(), OWN, now);
+        let upstream = format!("w-{number}");
+        let parts = parts.iter().copied();
+        quarantine.record_crash(parts, crash(&upstream), now);
     }
     now
 }
@@ -56,7 +63,8 @@
     let start = Instant::now();
     for number in 0..20 {
         let now = start + ms(number * 5);
-        quarantine.record_loss(["common"], OWN, now);
+        let upstream = format!("w-{number}");
+        quarantine.record_crash(["common"], crash(&upstream), now);
     }
     assert!(admits(&mut quarantine, &["common"], start + ms(100)));
 }
@@ -79,8 +87,8 @@
     assert!(!admits(&mut quarantine, &both, later));
     // A request with the deadly part alone is lost, and the last one.
     assert!(admits(&mut quarantine, &["deadly"], later));
-    quarantine.record_loss(["deadly"], OWN, later + ms(300));
-    assert!(!admits(&mut quarantine, &["deadly"], later + ms(400)));
+    quarantine.record_crash(["deadly"], crash("w-1"), later + ms(1_300));
+    assert!(!admits(&mut quarantine, &["deadly"], later + ms(1_400)));
 }
 
 #[test]
@@ -96,7 +104,7 @@
         assert!(admits(&mut quarantine, &["deadly"], now));
         assert!(!admits(&mut quarantine, &["deadly"], now + ms(50)));
         now += ms(500);
-        quarantine.record_loss(["deadly"], OWN, now);
+        quarantine.record_crash(["deadly"], crash("w-1"), now);
     }
     assert_eq!(lengths, [120, 240, 480]);
     now += quarantine.find(["deadly"], now).expect("quarantine").time_left;
@@ -138,10 +146,135 @@
             continue;
         }
         if random.random_bool(0.02) {
-            quarantine.record_loss(parts, OWN, now);
+            let upstream = format!("w-{number}");
+            quarantine.record_crash(parts, crash(&upstream), now);
         } else {
             quarantine.record_answer(parts, now);
         }
     }
     assert!(rejected * 100 < all, "{rejected} of {all}");
 }
+
+/// BUDGET: the first event of an answer cleared the part that crashed the
+/// upstream right behind it.
+#[test]
+fn an_answer_that_begins_is_no_sign_of_a_sound_part() {
+    let mut quarantine = PartQuarantine::new();
+    let mut now = Instant::now();
+    for number in 0..3 {
+        assert!(admits(&mut quarantine, &["deadly"], now), "{number}");
+        quarantine.record_begin(["deadly"], now + ms(10));
+        now = lose(&mut quarantine, &["deadly"], 1, now);
+    }
+    quarantine.record_begin(["deadly"], now + ms(10));
+    assert!(!admits(&mut quarantine, &["deadly"], now + ms(20)));
+}
+
+/// A crash breaks off many sound requests with one part. Their reports come
+/// late, those of other routers too.
+#[test]
+fn late_reports_of_one_crash_count_as_one() {
+    let mut quarantine = PartQuarantine::new();
+    let start = Instant::now();
+    for number in 0..9 {
+        let now = start + ms(number * 110);
+        let observer = match number % 2 {
+            0 => LossObserver::Own,
+            _ => LossObserver::Peer,
+        };
+        // Two upstreams crashed at the same time.
+        let upstream = if number % 3 == 0 { "w-1" } else { "w-2" };
+        let crash = UpstreamCrash { upstream, observer };
+        quarantine.record_crash(["sound"], crash, now);
+    }
+    assert!(admits(&mut quarantine, &["sound"], start + ms(1_000)));
+}
+
+/// Requests that wait for a probe waited for the whole stream of it.
+#[test]
+fn a_probe_that_is_answered_holds_back_no_other_request() {
+    let mut quarantine = PartQuarantine::new();
+    let both = ["sibling", "deadly"];
+    let now = lose(&mut quarantine, &both, 3, Instant::now());
+    let sound = ["sibling", "other"];
+    assert!(admits(&mut quarantine, &sound, now));
+    assert!(!admits(&mut quarantine, &sound, now + ms(10)));
+    quarantine.record_begin(sound, now + ms(20));
+    assert!(admits(&mut quarantine, &sound, now + ms(30)));
+    assert!(!admits(&mut quarantine, &both, now + ms(40)));
+    // If the probe is lost after all, the part is held back at once.
+    quarantine.record_crash(["sibling"], crash("w-9"), now + ms(1_200));
+    assert!(!admits(&mut quarantine, &sound, now + ms(1_300)));
+}
+
+/// Upstreams of the simulated service.
+const UPSTREAMS: usize = 8;
+
+/// Time between two requests of the simulated service.
+const REQUEST_GAP: Duration = Duration::from_millis(20);
+
+/// A stream of the simulated service.
+struct SimulatedStream {
+    upstream: usize,
+    part: String,
+    ends_at: Instant,
+}
+
+/// A service of 50 streams a second that last up to 4 s. One request in 20
+/// has the deadly part and crashes its upstream 20 ms after its first event,
+/// with all streams there; the upstream is back after 3 s.
+#[test]
+fn crashes_in_streams_quarantine_the_deadly_part_and_hardly_a_sound_one() {
+    let mut random = SmallRng::seed_from_u64(43);
+    let mut quarantine = PartQuarantine::new();
+    let start = Instant::now();
+    let mut streams: Vec<SimulatedStream> = Vec::new();
+    let mut back_at = [start; UPSTREAMS];
+    let (mut crashes, mut rejected, mut sound) = (0, 0, 0);
+    for number in 0_u32..1_500 {
+        let now = start + REQUEST_GAP * number;
+        streams.retain(|stream| {
+            let ended = stream.ends_at <= now;
+            if ended {
+                let parts = ["common", stream.part.as_str()];
+                quarantine.record_answer(parts, stream.ends_at);
+            }
+            !ended
+        });
+        let is_deadly = number % 20 == 19;
+        let part = match is_deadly {
+            true => "deadly".to_owned(),
+            false => format!("p{}", random.random_range(0..40)),
+        };
+        let parts = ["common", part.as_str()];
+        sound += u32::from(!is_deadly);
+        if quarantine.admit(parts, now).is_err() {
+            rejected += u32::from(!is_deadly);
+            continue;
+        }
+        let live = (0..UPSTREAMS).filter(|u| back_at[*u] <= now);
+        let live: Vec<usize> = live.collect();
+        if live.is_empty() {
+            continue;
+        }
+        let upstream = live[random.random_range(0..live.len())];
+        let lasts = ms(random.random_range(200..4_000));
+        quarantine.record_begin(parts, now);
+        let ends_at = now + lasts;
+        streams.push(SimulatedStream { upstream, part, ends_at });
+        if !is_deadly {
+            continue;
+        }
+        crashes += 1;
+        let down = now + ms(20);
+        back_at[upstream] = down + ms(3_000);
+        let name = format!("w-{upstream}");
+        for lost in streams.iter().filter(|s| s.upstream == upstream) {
+            let parts = ["common", lost.part.as_str()];
+            quarantine.record_crash(parts, crash(&name), down);
+        }
+        streams.retain(|stream| stream.upstream != upstream);
+    }
+    assert!(crashes <= 5, "{crashes} crashes");
+    assert!(rejected * 20 < sound, "{rejected} of {sound} sound ones");
+}
