LOST: bytes without end took the memory and the processor of a gateway

Here 220 answers whose ends came late took 246 to 249 MiB of a VM's 260 MB, and one stream in chunks of one byte kept 19 of 20 other requests from being served.

Cause: the bound held for one answer, not for all; each chunk led to a search of the whole buffer; a connection on which bytes keep coming never gave up its turn.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,12 +13,13 @@
     bytes::Bytes,
     http::{Request, StatusCode},
     monoio::net::TcpStream,
-    tokio::sync::oneshot,
+    tokio::sync::{Semaphore, oneshot},
 };
 
 use super::{
     HttpConnection, HttpFault, HttpReply, MessageLimits, SentRequest,
     encode::{encode_message, payload_of},
+    reply::MEMORY_UNIT,
 };
 use crate::runtime::spawn;
 
@@ -70,6 +72,8 @@
     pub(super) accepts_close_delimited: bool,
     late_connect_timeout: Option<Duration>,
     late_connects: Rc<Cell<usize>>,
+    /// Memory for large bodies of responses; `None` if it is not limited.
+    pub(super) reply_memory: Option<Arc<Semaphore>>,
 }
 
 impl HttpClient {
@@ -84,6 +88,7 @@
             accepts_close_delimited: false,
             late_connect_timeout: None,
             late_connects: Rc::default(),
+            reply_memory: None,
         }
     }
 
@@ -113,6 +118,15 @@
         self
     }
 
+    /// Limits the memory in bytes for large bodies of responses, over all
+    /// connections. At least one body can be read in any case.
+    pub fn with_reply_memory(mut self, bytes: usize) -> HttpClient {
+        let bytes = bytes.max(self.limits.body_bytes);
+        let units = bytes.div_ceil(MEMORY_UNIT);
+        self.reply_memory = Some(Arc::new(Semaphore::new(units)));
+        self
+    }
+
     /// Sets the longest time to wait for a connection.
     pub fn with_connect_timeout(mut self, timeout: Duration) -> HttpClient {
         self.connect_timeout = timeout;
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -20,15 +20,28 @@
         net::TcpStream,
     },
     monoio_codec::{Decoded, Decoder},
-    monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, DecodeError},
+    monoio_http::h1::codec::decoder::DecodeError,
     snafu::Snafu,
     socket2::SockRef,
 };
 
+use super::chunked::{BodyPiece, ChunkedBody};
+
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// Maximum size in bytes of any head. The decoder panics on a header name
 /// of 64 KiB.
 const MAX_HEAD_BYTES: usize = 64 * 1024 - 1;
 
+/// Bytes that a connection reads in one turn, if they arrive without a pause.
+/// Other connections and timers have their turns then.
+const TURN_BYTES: usize = 128 * 1024;
+
+/// Pause between two turns. A task that only yields would be run again before
+/// any timer.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
 /// Size in bytes of the buffer of one read.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -159,6 +172,10 @@
 pub(super) struct BoundedReader {
     read: OwnedReadHalf<TcpStream>,
     buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of a head.
+    searched: usize,
+    /// Bytes read in this turn.
+    turn_bytes: usize,
 }
 
 /// A TCP connection that carries HTTP/1.1 messages.
@@ -180,7 +197,12 @@
         let socket = SockRef::from(&fd);
         let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         let (read, writer) = stream.into_split();
-        let reader = BoundedReader { read, buffer: BytesMut::new() };
+        let reader = BoundedReader {
+            read,
+            buffer: BytesMut::new(),
+            searched: 0,
+            turn_bytes: 0,
+        };
         HttpConnection { reader, writer }
     }
 }
@@ -234,14 +256,30 @@
         if read? == 0 {
             return Err(HttpFault::Truncated);
         }
+        self.turn_bytes += chunk.len();
         if self.buffer.is_empty() {
             self.buffer = chunk;
-            return Ok(());
+        } else {
+            self.buffer.extend_from_slice(&chunk);
+        }
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            monoio::time::sleep(TURN_PAUSE).await;
         }
-        self.buffer.extend_from_slice(&chunk);
         Ok(())
     }
 
+    /// Returns the number of bytes before the end of the head at the start of
+    /// the buffer, if its end was read.
+    fn find_head_end(&mut self) -> Option<usize> {
+        // The end may begin in the bytes that were searched.
+        let from = self.searched.saturating_sub(HEAD_END.len() - 1);
+        let from = from.min(self.buffer.len());
+        let end = memchr::memmem::find(&self.buffer[from..], HEAD_END);
+        self.searched = if end.is_some() { 0 } else { self.buffer.len() };
+        end.map(|end| from + end)
+    }
+
     /// Reads the head of a message.
     pub(super) async fn read_head<D>(
         &mut self,
@@ -256,15 +294,17 @@
         loop {
             // The decoder only looks for the end of the head, so the limit is
             // checked here, on the bytes before that end.
-            let end = find_head_end(&self.buffer);
+            let end = self.find_head_end();
             let head_bytes = end.unwrap_or(self.buffer.len());
             if head_bytes > limit {
                 return Err(HttpFault::HeadTooLarge { limit });
             }
-            if let Decoded::Some(head) = decoder.decode(&mut self.buffer)? {
-                return Ok(head);
-            }
             if end.is_some() {
+                if let Decoded::Some(head) =
+                    decoder.decode(&mut self.buffer)?
+                {
+                    return Ok(head);
+                }
                 let reason = "incomplete head".to_owned();
                 return Err(HttpFault::Malformed { reason });
             }
@@ -283,23 +323,29 @@
             let limit = limits.body_bytes;
             return Err(HttpFault::BodyTooLarge { limit });
         }
+        // Growing by doubling would hold up to twice the body.
+        self.buffer.reserve(length.saturating_sub(self.buffer.len()));
         while self.buffer.len() < length {
             self.fill(limits.read_deadline(deadline)).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
     }
 
-    /// Reads the next chunk of a chunked body; returns `None` after the last
-    /// one.
+    /// Reads the next chunk of a chunked body, or several small ones joined;
+    /// returns `None` after the last one.
+    ///
+    /// After `BodyTooLarge` it can be called again with a higher limit.
     pub(super) async fn read_chunk(
         &mut self,
-        decoder: &mut ChunkedBodyDecoder,
+        body: &mut ChunkedBody,
         limits: &MessageLimits,
         deadline: Instant,
     ) -> Result<Option<Bytes>, HttpFault> {
         loop {
-            if let Decoded::Some(chunk) = decoder.decode(&mut self.buffer)? {
-                return Ok(chunk);
+            match body.decode(&mut self.buffer)? {
+                BodyPiece::Data(chunk) => return Ok(Some(chunk)),
+                BodyPiece::End => return Ok(None),
+                BodyPiece::Incomplete => {}
             }
             // The decoder waits for a whole chunk in the buffer, whatever
             // size the chunk declares.
@@ -347,7 +393,7 @@
             }
             BodyLength::Chunked => {}
         }
-        let mut decoder = ChunkedBodyDecoder::default();
+        let mut decoder = ChunkedBody::new();
         let mut body = BytesMut::new();
         loop {
             let chunk = self.read_chunk(&mut decoder, limits, deadline);
@@ -363,10 +409,6 @@
     }
 }
 
-fn find_head_end(buffer: &[u8]) -> Option<usize> {
-    buffer.windows(4).position(|window| window == b"\r\n\r\n")
-}
-
 /// Determines from the headers how the length of a body is given.
 ///
 /// # Errors
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,6 +7,7 @@
 //! has the measurements behind this division of work.
 
 mod accept;
+mod chunked;
 mod client;
 mod connection;
 mod encode;
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -11,6 +11,7 @@
     future::Future,
     net::SocketAddr,
     pin::{Pin, pin},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -18,13 +19,13 @@
     bytes::Bytes,
     http::{HeaderMap, StatusCode, response},
     monoio::{io::OwnedWriteHalf, net::TcpStream},
-    monoio_http::h1::codec::decoder::{
-        ChunkedBodyDecoder, ResponseHeadDecoder,
-    },
+    monoio_http::h1::codec::decoder::ResponseHeadDecoder,
+    tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
 
 use super::{
-    HttpClient, HttpConnection, HttpFault,
+    HttpClient, HttpConnection, HttpFault, MessageLimits,
+    chunked::ChunkedBody,
     connection::{BodyLength, BoundedReader, body_length, write_all},
 };
 use crate::domain::MAX_TIME;
@@ -34,6 +35,12 @@
 /// connection at any moment.
 const IDLE_MARGIN_PERCENT: u32 = 25;
 
+/// Maximum size in bytes of a body for which no memory is reserved.
+const SMALL_REPLY_BYTES: usize = 64 * 1024;
+
+/// Bytes of memory that one permit stands for.
+pub(super) const MEMORY_UNIT: usize = 1024;
+
 /// A write in progress, which returns the write half at its end.
 type PendingWrite = Pin<
     Box<dyn Future<Output = Result<OwnedWriteHalf<TcpStream>, HttpFault>>>,
@@ -137,8 +144,11 @@
         self.closes |= closes || length == BodyLength::UntilClose;
         let body = ReplyBody {
             idle_timeout: announced_idle_timeout(&head.headers),
-            decoder: ChunkedBodyDecoder::default(),
+            decoder: ChunkedBody::new(),
             length,
+            limits: self.client.limits,
+            reply_memory: self.client.reply_memory.clone(),
+            memory: None,
             sent: Some(self),
         };
         Ok(HttpReply { status: head.status, headers: head.headers, body })
@@ -220,8 +230,12 @@
     /// The connection; `None` after the end of the body.
     sent: Option<SentRequest>,
     idle_timeout: Duration,
-    decoder: ChunkedBodyDecoder,
+    decoder: ChunkedBody,
     length: BodyLength,
+    limits: MessageLimits,
+    reply_memory: Option<Arc<Semaphore>>,
+    /// The memory that is reserved for the body, if it is large.
+    memory: Option<OwnedSemaphorePermit>,
 }
 
 impl ReplyBody {
@@ -238,7 +252,7 @@
         &mut self,
         deadline: Instant,
     ) -> Result<Option<Bytes>, HttpFault> {
-        let chunk = self.read_chunk(deadline).await?;
+        let chunk = self.read_reserved(deadline).await?;
         let ended = self.is_single_chunk() || chunk.is_none();
         if ended && let Some(sent) = self.sent.take() {
             sent.into_pool(self.idle_timeout);
@@ -263,8 +277,8 @@
         let Some(sent) = &mut self.sent else {
             return Ok(None);
         };
-        let SentRequest { client, reader, write, .. } = sent;
-        let limits = &client.limits;
+        let SentRequest { reader, write, .. } = sent;
+        let limits = &self.limits;
         match self.length {
             BodyLength::Absent | BodyLength::Fixed(0) => Ok(None),
             BodyLength::Fixed(length) => {
@@ -282,6 +296,65 @@
         }
     }
 
+    /// Reads the next chunk, and reserves memory for a large one first.
+    async fn read_reserved(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        if let BodyLength::Fixed(length) = self.length {
+            self.hold(length.min(self.limits.body_bytes), deadline).await?;
+            return self.read_chunk(deadline).await;
+        }
+        let limit = self.limits.body_bytes;
+        if self.memory.is_none() && self.reply_memory.is_some() {
+            self.limits.body_bytes = limit.min(SMALL_REPLY_BYTES);
+        }
+        let chunk = self.read_chunk(deadline).await;
+        self.limits.body_bytes = limit;
+        match chunk {
+            Err(HttpFault::BodyTooLarge { limit: small }) if small < limit => {
+                self.hold(limit, deadline).await?;
+                self.read_chunk(deadline).await
+            }
+            chunk => chunk,
+        }
+    }
+
+    /// Reserves memory for a reader that holds `bytes` bytes of the body; it
+    /// is reserved until this value is dropped.
+    ///
+    /// Small bodies need none. The whole of a large one is reserved at once,
+    /// so that every body with memory can be read to its end. Other large
+    /// bodies wait in order meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if none becomes free before `deadline`.
+    pub async fn hold(
+        &mut self,
+        bytes: usize,
+        deadline: Instant,
+    ) -> Result<(), HttpFault> {
+        let Some(reply_memory) = &self.reply_memory else {
+            return Ok(());
+        };
+        if bytes <= SMALL_REPLY_BYTES || self.memory.is_some() {
+            return Ok(());
+        }
+        let whole = match self.length {
+            BodyLength::Fixed(length) => length,
+            _ => self.limits.body_bytes,
+        };
+        let units = whole.min(self.limits.body_bytes).div_ceil(MEMORY_UNIT);
+        let permit = reply_memory.clone().acquire_many_owned(units as u32);
+        let wait = deadline.saturating_duration_since(Instant::now());
+        let permit = monoio::time::timeout(wait, permit).await;
+        let permit = permit.map_err(|_| HttpFault::TimedOut)?;
+        // The semaphore is never closed.
+        self.memory = permit.ok();
+        Ok(())
+    }
+
     /// Reads the body to its end and returns the connection.
     async fn skip(
         mut self,
@@ -294,7 +367,7 @@
                 break;
             }
             skipped += chunk.len();
-            let limit = self.body_limit();
+            let limit = self.limits.body_bytes;
             if skipped > limit {
                 return Err(HttpFault::BodyTooLarge { limit });
             }
@@ -303,12 +376,6 @@
         sent.ok_or(HttpFault::Closed)
     }
 
-    /// Returns the maximum size of the body in bytes.
-    fn body_limit(&self) -> usize {
-        let sent = self.sent.as_ref();
-        sent.map_or(0, |sent| sent.client.limits.body_bytes)
-    }
-
     /// Reads the whole body.
     ///
     /// # Errors
@@ -318,7 +385,7 @@
         mut self,
         deadline: Instant,
     ) -> Result<Bytes, HttpFault> {
-        let limit = self.body_limit();
+        let limit = self.limits.body_bytes;
         let mut body = Vec::new();
         while let Some(chunk) = self.next_chunk(deadline).await? {
             if body.is_empty() && self.sent.is_none() {
@@ -327,6 +394,7 @@
             if body.len() + chunk.len() > limit {
                 return Err(HttpFault::BodyTooLarge { limit });
             }
+            self.hold(body.len() + chunk.len(), deadline).await?;
             body.extend_from_slice(&chunk);
         }
         Ok(Bytes::from(body))
--- a/src/adapters/upstream.rs
+++ b/src/adapters/upstream.rs
@@ -185,6 +185,14 @@
         Box::pin(async move { Ok(self.body.next_chunk(deadline).await?) })
     }
 
+    fn hold(
+        &mut self,
+        bytes: usize,
+        deadline: Instant,
+    ) -> PortFuture<'_, Result<(), UpstreamFault>> {
+        Box::pin(async move { Ok(self.body.hold(bytes, deadline).await?) })
+    }
+
     fn is_delimited(&self) -> bool {
         self.body.is_delimited()
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -11,7 +11,10 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, Response, StatusCode};
+use {
+    bytes::Bytes,
+    http::{HeaderMap, Response, StatusCode},
+};
 
 use super::{
     CallRequest, GatewayCore,
@@ -493,8 +496,9 @@
         let deadline = request.answer_deadline();
         let limit = self.core.settings.limits.answer_bytes;
         let is_delimited = body.is_delimited();
-        let body = match read_body(body.as_mut(), deadline, limit).await {
-            Ok(body) => body,
+        let whole = read_body(body.as_mut(), deadline, limit).await;
+        let whole = match whole {
+            Ok(whole) => whole,
             Err(fault) => {
                 attempt.record_outcome(UpstreamOutcome::Lost);
                 self.record_loss(attempt.slot.upstream(), &fault).await;
@@ -525,13 +529,15 @@
             let error = upstream_error(request, &fault);
             return NextStep::End(CallEnd::Failed(error));
         }
-        let mut response = Response::new(body.into());
+        let mut response = Response::new(whole);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         let end = match responder.send(response).await {
             Ok(()) => CallEnd::Answered(status),
             Err(_) => CallEnd::CallerGone,
         };
+        // Until here the memory of the answer is reserved.
+        drop(body);
         NextStep::End(end)
     }
 
@@ -692,15 +698,24 @@
     upstream_body: &mut dyn UpstreamBody,
     deadline: Instant,
     limit: usize,
-) -> Result<Vec<u8>, UpstreamFault> {
+) -> Result<Bytes, UpstreamFault> {
+    let mut first = Bytes::new();
     let mut body = Vec::new();
     while let Some(chunk) = upstream_body.next_chunk(deadline).await? {
-        if body.len() + chunk.len() > limit {
+        let bytes = first.len() + body.len() + chunk.len();
+        if bytes > limit {
             return Err(UpstreamFault::broken("an answer is too large"));
         }
+        upstream_body.hold(bytes, deadline).await?;
+        // A body that arrives as a whole is not copied.
+        if first.is_empty() && body.is_empty() {
+            first = chunk;
+            continue;
+        }
+        body.extend_from_slice(&std::mem::take(&mut first));
         body.extend_from_slice(&chunk);
     }
-    Ok(body)
+    Ok(if first.is_empty() { Bytes::from(body) } else { first })
 }
 
 /// Returns the error of a request that was sent and has no valid answer.
--- a/src/ports/upstream.rs
+++ b/src/ports/upstream.rs
@@ -93,6 +93,18 @@
         deadline: Instant,
     ) -> PortFuture<'_, Result<Option<Bytes>, UpstreamFault>>;
 
+    /// Reserves memory for a reader that holds `bytes` bytes of the body; it
+    /// is reserved until this value is dropped.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if no memory is free before `deadline`.
+    fn hold(
+        &mut self,
+        bytes: usize,
+        deadline: Instant,
+    ) -> PortFuture<'_, Result<(), UpstreamFault>>;
+
     /// Returns whether the end of the body can be told from the end of the
     /// connection.
     fn is_delimited(&self) -> bool;
--- a/src/router/chat/answer.rs
+++ b/src/router/chat/answer.rs
@@ -74,6 +74,7 @@
     let deadline = open_call.sent_at + core.settings.limits.upstream_time;
     let version = open_call.slot.upstream().version.clone();
     let address = open_call.address;
+    let limit = core.settings.limits.answer_bytes;
     let mut body = Vec::new();
     loop {
         let chunk = monoio::select! {
@@ -86,6 +87,15 @@
             }
         };
         match chunk {
+            Ok(Some(chunk)) if body.len() + chunk.len() > limit => {
+                let service = &chat.service;
+                core.record_evidence(service, &version, &route, true, None);
+                let fault = UpstreamFault::broken("an answer is too large");
+                return AnswerOutcome::UpstreamFailed(
+                    reservation,
+                    upstream_error(&fault),
+                );
+            }
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
             Ok(None) => break,
             Err(fault) => {
@@ -215,6 +225,14 @@
         Box::pin(std::future::ready(Ok(None)))
     }
 
+    fn hold(
+        &mut self,
+        _bytes: usize,
+        _deadline: Instant,
+    ) -> PortFuture<'_, Result<(), UpstreamFault>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
     fn is_delimited(&self) -> bool {
         true
     }
--- a/src/router/sse.rs
+++ b/src/router/sse.rs
@@ -6,6 +6,9 @@
 /// Maximum size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The end of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
 /// One event as it is forwarded to the caller, with the parsed fields that
 /// the router needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,6 +56,10 @@
 #[derive(Debug, Default)]
 pub struct SseScanner {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of an event.
+    searched: usize,
+    /// Where the first event ends, if its end was found.
+    event_end: Option<usize>,
 }
 
 impl SseScanner {
@@ -64,6 +71,20 @@
     /// Appends received bytes of the body.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.find_end();
+    }
+
+    /// Finds the end of the first event. Bytes that were searched before are
+    /// not searched again.
+    fn find_end(&mut self) {
+        if self.event_end.is_some() {
+            return;
+        }
+        // The end may begin in the bytes that were searched.
+        let from = self.searched.saturating_sub(EVENT_END.len() - 1);
+        let end = memchr::memmem::find(&self.buffer[from..], EVENT_END);
+        self.event_end = end.map(|end| from + end + EVENT_END.len());
+        self.searched = self.buffer.len();
     }
 
     /// Returns whether more bytes are buffered than one event may have.
@@ -83,7 +104,7 @@
 
     /// Returns whether a complete event is buffered.
     pub fn has_event(&self) -> bool {
-        memchr::memmem::find(&self.buffer, b"\n\n").is_some()
+        self.event_end.is_some()
     }
 
     /// Returns whether bytes are buffered, which are an incomplete event
@@ -94,8 +115,10 @@
 
     /// Removes the next complete event from the buffer and returns it.
     pub fn next_event(&mut self) -> Option<SseEvent> {
-        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
-        let bytes = self.buffer.split_to(end + 2).freeze();
+        let end = self.event_end.take()?;
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        self.find_end();
         let data = bytes.strip_prefix(b"data: ").unwrap_or(&bytes);
         let data = data.trim_ascii_end();
         let done = data == b"[DONE]";
