BUDGET: gateways that were started together did not learn which parts crash upstreams

Cause: each asked one other gateway at random every two seconds, which often had been started at the same time and knew nothing either.

Change: a gateway asks each that serves callers once, within its first two seconds.

--- a/src/gateway/parts.rs
+++ b/src/gateway/parts.rs
@@ -6,6 +6,8 @@
 //! quarantine from a peer.
 
 use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -24,6 +26,13 @@
 /// Interval between questions to peers which parts are in quarantine.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time after its start in which a router asks all others.
+const START_WINDOW: Duration = Duration::from_secs(2);
+
+/// Interval at which a router that has started asks those that have not
+/// answered.
+const START_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Longest time in which a refusal of a connection counts as the sign of a
 /// crash. A refusal comes at once; a connection that does not open may be due
 /// to this router's own link.
@@ -33,13 +42,10 @@
 ///
 /// A router that was restarted, frozen or cut off has missed the reports.
 pub(super) async fn run_exchange(core: Rc<GatewayCore>) {
+    ask_all_at_start(&core).await;
     loop {
         if let Some((_, peer)) = core.random_peer() {
-            let call = PeerCall::Parts(PartReport::default());
-            let answer = core.ports.peers.call(peer, call).await;
-            if let Ok(PeerAnswer::Quarantined(parts)) = answer {
-                core.merge_quarantine(&parts);
-            }
+            ask_peer(&core, peer).await;
         }
         // Quarantines also end by time.
         core.update_quarantine_metric();
@@ -65,6 +71,37 @@
     decided.verdict.set(has_crashed);
 }
 
+/// Asks each router that serves callers once. Those that were started at the
+/// same time know nothing, so that one answer is not enough.
+async fn ask_all_at_start(core: &Rc<GatewayCore>) {
+    let until = Instant::now() + START_WINDOW;
+    let mut answered = BTreeSet::new();
+    while Instant::now() < until {
+        for vm in core.serving_routers() {
+            let address = core.directory.peer_address(&vm);
+            let is_asked = vm == core.id.vm || answered.contains(&vm);
+            let Some(peer) = address.filter(|_| !is_asked) else {
+                continue;
+            };
+            if ask_peer(core, peer).await {
+                answered.insert(vm);
+            }
+        }
+        core.timer.sleep(START_INTERVAL).await;
+    }
+}
+
+/// Asks a router which parts are in quarantine; returns whether it answered.
+async fn ask_peer(core: &Rc<GatewayCore>, peer: SocketAddr) -> bool {
+    let call = PeerCall::Parts(PartReport::default());
+    let answer = core.ports.peers.call(peer, call).await;
+    let Ok(PeerAnswer::Quarantined(parts)) = answer else {
+        return false;
+    };
+    core.merge_quarantine(&parts);
+    true
+}
+
 impl GatewayCore {
     /// Rejects a request with a part in quarantine.
     pub(super) fn reject_if_quarantined(
