--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -4,7 +4,7 @@
 
 use {bytes::Bytes, http::Response};
 
-use super::{GatewayCore, dispatch};
+use super::{GatewayCore, serve};
 use crate::{
     adapters::http::{HttpRequest, HttpResponder, RequestReader},
     catalog::CallerLimits,
@@ -68,7 +68,7 @@
         match call {
             Ok(call) => {
                 let call = Rc::new(call);
-                dispatch::serve(self, &call, reader, responder).await
+                serve::serve(self, &call, reader, responder).await
             }
             Err(error) => {
                 let error = self.make_retryable_unless_fresh(error);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 //!   while the store cannot be reached.
 //! * `process` starts and stops the process ([`GatewayProcess`]).
 
+mod answer;
 mod attempt;
 mod callers;
 mod confirm;
@@ -48,6 +49,7 @@
 mod process;
 mod relay;
 mod request;
+mod serve;
 mod witness;
 
 pub use self::{
