--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,10 +8,13 @@
 //! and makes no decisions; it decodes each request to a [`CallRequest`]. The
 //! other modules, in reading order:
 //!
-//! * `dispatch` serves one request: token reservation, admission, attempts
-//!   and the answer.
+//! * `serve` runs the dispatch of one request, beside its timeout and the
+//!   disconnect of its caller.
+//! * `dispatch` finds an upstream that answers the request: token
+//!   reservation, admission and attempts.
 //! * `attempt` sends a request to one upstream.
-//! * `relay` copies an event stream to a caller.
+//! * `answer` forwards the answer, and `relay` copies an event stream to a
+//!   caller.
 //! * `patience` computes the timeout for the start of an answer.
 //! * `callers` and `entry` answer what the listeners receive.
 //! * `follow` keeps the catalog, the upstreams and the entry VMs up to date.
@@ -23,7 +26,8 @@
 //!   ([`LeavePlan`]).
 //! * `moves` moves a service to another version ([`ServiceMove`]);
 //!   `exposure` bounds what a bad one may get ([`MoveExposure`]).
-//! * `parts` rejects requests with prompt parts that crash upstreams.
+//! * `parts` rejects requests with prompt parts that crash upstreams;
+//!   `crashes` finds out which upstreams have crashed.
 //! * `peers` answers other routers.
 //! * `witness` tells other routers what this one has taken out of accounts
 //!   while the store cannot be reached.
