ORDER: a stream that was reset ended as complete for a slow reader

Cause: a fault met while reading ahead was dropped if events were still to be sent. A socket reports a reset once; the next read finds the ordinary end of such a body.

Change: a body is open, ended or broken. After a fault other than a timeout it is broken, its connection is gone, and each further read fails.

--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -149,7 +149,7 @@
             limits: self.client.limits,
             reply_memory: self.client.reply_memory.clone(),
             memory: None,
-            sent: Some(self),
+            state: BodyState::Open(Box::new(self)),
         };
         Ok(HttpReply { status: head.status, headers: head.headers, body })
     }
@@ -224,11 +224,31 @@
     }
 }
 
+/// How far a body has been read.
+enum BodyState {
+    /// Its end was not read yet.
+    Open(Box<SentRequest>),
+    /// It was read to its end.
+    Ended,
+    /// Its connection has failed. A further read of the connection could
+    /// find an ordinary end.
+    Broken,
+}
+
+impl BodyState {
+    /// Removes the connection of an open body; the body is `next` then.
+    fn take(&mut self, next: BodyState) -> Option<SentRequest> {
+        match std::mem::replace(self, next) {
+            BodyState::Open(sent) => Some(*sent),
+            BodyState::Ended | BodyState::Broken => None,
+        }
+    }
+}
+
 /// A response body that is read on demand, so that a slow consumer causes
 /// backpressure on the remote end instead of filling memory.
 pub struct ReplyBody {
-    /// The connection; `None` after the end of the body.
-    sent: Option<SentRequest>,
+    state: BodyState,
     idle_timeout: Duration,
     decoder: ChunkedBody,
     length: BodyLength,
@@ -248,13 +268,21 @@
     /// # Errors
     ///
     /// `TimedOut` after `deadline`, `Truncated` if the body is incomplete.
+    /// After any fault but `TimedOut` each further read fails too.
     pub async fn next_chunk(
         &mut self,
         deadline: Instant,
     ) -> Result<Option<Bytes>, HttpFault> {
-        let chunk = self.read_reserved(deadline).await?;
+        let chunk = match self.read_reserved(deadline).await {
+            Err(HttpFault::TimedOut) => return Err(HttpFault::TimedOut),
+            Err(fault) => {
+                self.state = BodyState::Broken;
+                return Err(fault);
+            }
+            Ok(chunk) => chunk,
+        };
         let ended = self.is_single_chunk() || chunk.is_none();
-        if ended && let Some(sent) = self.sent.take() {
+        if ended && let Some(sent) = self.state.take(BodyState::Ended) {
             sent.into_pool(self.idle_timeout);
         }
         Ok(chunk)
@@ -275,10 +303,12 @@
         limits: &MessageLimits,
         deadline: Instant,
     ) -> Result<Option<Bytes>, HttpFault> {
-        let Some(sent) = &mut self.sent else {
-            return Ok(None);
+        let sent = match &mut self.state {
+            BodyState::Open(sent) => sent,
+            BodyState::Ended => return Ok(None),
+            BodyState::Broken => return Err(HttpFault::Truncated),
         };
-        let SentRequest { reader, write, .. } = sent;
+        let SentRequest { reader, write, .. } = sent.as_mut();
         match self.length {
             BodyLength::Absent | BodyLength::Fixed(0) => Ok(None),
             BodyLength::Fixed(length) => {
@@ -372,7 +402,8 @@
                 return Err(HttpFault::BodyTooLarge { limit });
             }
         }
-        let sent = self.sent.take().filter(|_| is_delimited);
+        let sent = self.state.take(BodyState::Ended);
+        let sent = sent.filter(|_| is_delimited);
         sent.ok_or(HttpFault::Closed)
     }
 
@@ -388,7 +419,8 @@
         let limit = self.limits.body_bytes;
         let mut body = Vec::new();
         while let Some(chunk) = self.next_chunk(deadline).await? {
-            if body.is_empty() && self.sent.is_none() {
+            let has_ended = matches!(self.state, BodyState::Ended);
+            if body.is_empty() && has_ended {
                 return Ok(chunk);
             }
             if body.len() + chunk.len() > limit {
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -287,3 +287,34 @@
     let chunk = read.unwrap().expect("a chunk").expect("a chunk");
     assert_eq!(chunk.len(), 200_000);
 }
+
+/// ORDER: the fault of a connection was seen by a read ahead; the next read
+/// found the end of the connection, and took it for that of the body.
+#[test]
+fn a_body_that_broke_has_no_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 X\r\n\r\npart");
+        thread::sleep(Duration::from_millis(100));
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    block_on(async {
+        let client = HttpClient::new().with_close_delimited();
+        let connection = client.connect(address).await.unwrap();
+        let request = Request::get("/x").body(Bytes::new()).unwrap();
+        let sent = client.send(address, connection, request, LONG_TIME);
+        let mut body = sent.await.unwrap().body;
+        let deadline = Instant::now() + LONG_TIME;
+        let part = body.next_chunk(deadline).await.unwrap();
+        assert_eq!(part, Some(Bytes::from_static(b"part")));
+        for read in 0..3 {
+            let end = body.next_chunk(deadline).await;
+            assert!(end.is_err(), "read {read}: {end:?}");
+        }
+    })
+    .unwrap();
+}
