Log lines: reads, staleness and passing on of the declarations

The lines could not tell how many bytes a read of the declarations brought and whether they were of use, when and why a gateway began and ceased to refuse by their age, and which gateway was sent the text by which. New: catalog_read, catalog_stale, catalog_usable, catalog_sent. No decision changes.

--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::GatewayCore;
+use super::{DeclarationTracker, GatewayCore};
 use crate::{
     ports::{DeclaredCatalog, DeclaredState, PeerAnswer, PeerCall},
     runtime::{OverlapOptions, OverlappedCalls, TimedAnswer},
@@ -36,12 +36,49 @@
     state: DeclaredState,
 }
 
+/// Writes one line when the declarations turn stale, and one when they may
+/// be used again.
+#[derive(Debug, Default)]
+struct StalenessLog {
+    stale_since: Option<Instant>,
+}
+
+impl StalenessLog {
+    fn note_state(&mut self, tracker: &DeclarationTracker, now: Instant) {
+        let catalog = tracker.version().unwrap_or_default();
+        let age_ms = tracker.age(now).unwrap_or_default().as_millis() as u64;
+        let reason = tracker.staleness(now);
+        match (self.stale_since, reason) {
+            (None, Some(reason)) => {
+                self.stale_since = Some(now);
+                log::info!(
+                    event:% = LogEvent::CatalogStale,
+                    catalog, reason = reason.name(), age_ms;
+                    "declarations are stale: {}", reason.name()
+                );
+            }
+            (Some(since), None) => {
+                self.stale_since = None;
+                let stale_ms = (now - since).as_millis() as u64;
+                log::info!(
+                    event:% = LogEvent::CatalogUsable,
+                    catalog, age_ms, stale_ms;
+                    "declarations may be used again"
+                );
+            }
+            (Some(_), Some(_)) | (None, None) => {}
+        }
+    }
+}
+
 /// Asks other gateways whenever the declarations need a confirmation. Never
 /// returns.
 pub(super) async fn run_confirmation(core: Rc<GatewayCore>) {
     let asks = OverlappedCalls::new(ASK_OPTIONS);
+    let mut log = StalenessLog::default();
     loop {
         core.timer.sleep(CHECK_INTERVAL).await;
+        log.note_state(&core.declarations.borrow(), Instant::now());
         if !core.declarations.borrow().needs_confirmation(Instant::now()) {
             continue;
         }
--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -77,6 +77,16 @@
     LateAnswers(Duration),
 }
 
+impl StaleReason {
+    /// Returns the name of the reason in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            StaleReason::Superseded(_) => "superseded",
+            StaleReason::LateAnswers(_) => "late_answers",
+        }
+    }
+}
+
 /// Tracks whether the declarations of a router are fresh, unconfirmed or
 /// stale.
 ///
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,8 +5,12 @@
 use super::GatewayCore;
 use crate::{
     domain::PortionId,
-    ports::{LendReply, PeerAnswer, PeerCall, PeerHandler, PortFuture},
+    ports::{
+        DeclaredState, LendReply, PeerAnswer, PeerCall, PeerHandler,
+        PortFuture,
+    },
     runtime::spawn,
+    telemetry::LogEvent,
 };
 
 impl PeerHandler for GatewayCore {
@@ -38,6 +42,7 @@
                     let now = Instant::now();
                     let state =
                         self.declarations.borrow().state(now, text_after);
+                    log_sent_text(state.as_ref());
                     PeerAnswer::Declared(state)
                 }
                 PeerCall::Parts(report) => self.apply_part_report(&report),
@@ -59,6 +64,21 @@
     }
 }
 
+/// Logs that an answer to another router includes the text.
+fn log_sent_text(state: Option<&DeclaredState>) {
+    let Some(state) = state else {
+        return;
+    };
+    let Some(text) = &state.text else {
+        return;
+    };
+    log::info!(
+        event:% = LogEvent::CatalogSent,
+        catalog = state.version, bytes = text.len();
+        "declarations sent to another router"
+    );
+}
+
 impl GatewayCore {
     /// Calls all other routers without waiting for their answers.
     ///
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -128,6 +128,16 @@
     ];
     /// Another router has confirmed the declarations that could not be read.
     CatalogConfirmed = "catalog_confirmed" ["catalog", "peer", "age_ms"];
+    /// A read of the declarations has ended that returned records or failed.
+    CatalogRead = "catalog_read" [
+        "kind", "outcome", "records", "bytes", "took_ms",
+    ];
+    /// The text of the declarations was sent to another router.
+    CatalogSent = "catalog_sent" ["catalog", "bytes"];
+    /// The declarations may not be used any more: all requests are rejected.
+    CatalogStale = "catalog_stale" ["catalog", "reason", "age_ms"];
+    /// Stale declarations may be used again.
+    CatalogUsable = "catalog_usable" ["catalog", "age_ms", "stale_ms"];
     /// Another router goes by newer declarations.
     CatalogOutdated = "catalog_outdated" [
         "catalog", "newer", "newer_for_ms", "peer",
