CONFIG: few gateways read changed declarations from the store, the others get them from each other

Callers saw: with 1,300 routes at 295 VMs a change was not in force for 10 to 16 seconds after it was acknowledged, all requests were refused meanwhile, and then some ran by the old version.

Cause: each VM read each version whole, 340 kB, 790 kB when it had missed one, while all reads share 80 MB/s. Past one change a second answers were late, were thrown away and asked for again, up to six times at once and 200 ms after a refusal; the load kept itself up, and upstream list and tokens went down with it.

Change: eight gateways, large ones of all failure domains, read the text, at 2 MB/s each at most. The others ask for the end of the topic only, which is a small answer, and get the text, compressed, from a gateway that has announced it or from a reader. While a gateway is behind and gets nothing, the number of readers doubles, each tenth of the apply time. What the store must send for a change no longer grows with the fleet. Known but unread declarations make those in use stale after the apply time. Failed reads are repeated after 200 ms, then later.

--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -3,12 +3,14 @@
 use {
     super::generated as wire,
     crate::{
+        catalog::PackedText,
         domain::{BillId, HolderId, PortionId, time_from_ms},
         ports::{
             AccountAllowance, AllowanceReport, ClaimReply, ClaimRequest,
-            DeclaredState, EvidenceReport, KnownState, LendReply, LendRequest,
-            MemberStatus, MemberUpdate, NewerState, PartReport, PingMessage,
-            RelayBatch, RelayedBill, UpstreamDeparture,
+            DeclaredNotice, DeclaredState, EvidenceReport, KnownState,
+            LendReply, LendRequest, MemberStatus, MemberUpdate, NewerState,
+            PartReport, PeerCall, PingMessage, RelayBatch, RelayedBill,
+            TopicPosition, UpstreamDeparture,
         },
         routing::{LimitObservation, QuarantinedPart, RequestRate},
     },
@@ -404,7 +406,12 @@
             version: Some(state.version),
             age_ms: state.age.as_millis() as u64,
             in_force_ms: state.in_force.as_millis() as u64,
-            text: state.text.unwrap_or_default(),
+            packed_text: state
+                .text
+                .map(|text| text.as_bytes().to_vec())
+                .unwrap_or_default(),
+            era: state.position.era,
+            offset: state.position.offset,
         }
     }
 }
@@ -415,7 +422,28 @@
             version: answer.version?,
             age: time_from_ms(answer.age_ms),
             in_force: time_from_ms(answer.in_force_ms),
-            text: (!answer.text.is_empty()).then_some(answer.text),
+            position: TopicPosition { era: answer.era, offset: answer.offset },
+            text: (!answer.packed_text.is_empty())
+                .then(|| PackedText::from_bytes(answer.packed_text)),
         })
     }
 }
+
+/// Encodes a call about declarations.
+pub(super) fn declared_call(
+    text_after: Option<u64>,
+    notice: Option<DeclaredNotice>,
+) -> wire::DeclaredCall {
+    let (vm, version) =
+        notice.map_or_else(Default::default, |n| (n.vm, n.version));
+    wire::DeclaredCall { text_after, vm, version }
+}
+
+impl From<wire::DeclaredCall> for PeerCall {
+    fn from(call: wire::DeclaredCall) -> PeerCall {
+        let wire::DeclaredCall { text_after, vm, version } = call;
+        let notice =
+            (!vm.is_empty()).then_some(DeclaredNotice { vm, version });
+        PeerCall::Declared { text_after, notice }
+    }
+}
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -109,11 +109,17 @@
     #[prost(string, tag = "2")]
     pub list: ::prost::alloc::string::String,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DeclaredCall {
     /// The text is wanted if its version is newer than this one.
     #[prost(uint64, optional, tag = "1")]
     pub text_after: ::core::option::Option<u64>,
+    /// The VM of the caller; empty if it announces nothing.
+    #[prost(string, tag = "2")]
+    pub vm: ::prost::alloc::string::String,
+    /// The version of the declarations that the caller has just applied.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DeclaredAnswer {
@@ -126,9 +132,16 @@
     /// How long they have been in force at the sender, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub in_force_ms: u64,
-    /// Empty if it was not wanted.
-    #[prost(string, tag = "4")]
-    pub text: ::prost::alloc::string::String,
+    /// The text, compressed by DEFLATE. Empty if it was not wanted or cannot be
+    /// sent now.
+    #[prost(bytes = "vec", tag = "5")]
+    pub packed_text: ::prost::alloc::vec::Vec<u8>,
+    /// The position in the operators' topic up to which the sender knows that
+    /// there are no newer declarations.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
+    #[prost(uint64, tag = "7")]
+    pub offset: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DeparturesAnswer {
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -21,10 +21,13 @@
     },
 };
 
-use super::generated::{
-    self as wire,
-    peer_client::PeerClient as WireClient,
-    peer_server::{Peer, PeerServer},
+use super::{
+    convert,
+    generated::{
+        self as wire,
+        peer_client::PeerClient as WireClient,
+        peer_server::{Peer, PeerServer},
+    },
 };
 use crate::{
     ports::{PeerAnswer, PeerCall, PeerFault, PeerPort, PortFuture},
@@ -185,8 +188,8 @@
 /// Returns the timeout of a call.
 fn call_timeout(call: &PeerCall) -> Duration {
     match call {
-        PeerCall::Declared { text_after: Some(_) } => LARGE_ANSWER_TIMEOUT,
-        PeerCall::Declared { text_after: None } | PeerCall::Departures => {
+        PeerCall::Declared { text_after: Some(_), .. } => LARGE_ANSWER_TIMEOUT,
+        PeerCall::Declared { text_after: None, .. } | PeerCall::Departures => {
             CONGESTED_CALL_TIMEOUT
         }
         _ => CALL_TIMEOUT,
@@ -254,8 +257,8 @@
             let answer = client.departures(wire::Empty {}).await?;
             PeerAnswer::Departed(answer.into_inner().into())
         }
-        PeerCall::Declared { text_after } => {
-            let call = wire::DeclaredCall { text_after };
+        PeerCall::Declared { text_after, notice } => {
+            let call = convert::declared_call(text_after, notice);
             let answer = client.declared(call).await?;
             PeerAnswer::Declared(answer.into_inner().into())
         }
@@ -405,8 +408,8 @@
         &self,
         request: Request<wire::DeclaredCall>,
     ) -> Result<Response<wire::DeclaredAnswer>, Status> {
-        let text_after = request.into_inner().text_after;
-        match self.handle(PeerCall::Declared { text_after }).await? {
+        let call = PeerCall::from(request.into_inner());
+        match self.handle(call).await? {
             PeerAnswer::Declared(state) => Ok(Response::new(state.into())),
             _ => unexpected_answer(),
         }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -7,14 +7,18 @@
 //!
 //! * [`RouteSpec`] describes how the requests of one route are handled.
 //! * [`ServiceSpec`] describes the capacity of a service's upstreams.
+//! * [`PackedText`] is the text that declares a catalog, as routers exchange
+//!   it.
 //! * [`AccountSpec`] describes what one client account may use.
 
 mod account;
+mod packed;
 mod route;
 mod table;
 
 pub use self::{
     account::AccountSpec,
+    packed::PackedText,
     route::{CallKind, EngineSpec, RouteSpec, RouteTarget, ServiceSpec},
     table::{CallerLimits, CatalogBuilder, RouteCatalog},
 };
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -30,10 +30,11 @@
 };
 
 /// The answer of another gateway.
-struct PeerReport {
-    vm: String,
-    peer: SocketAddr,
-    state: DeclaredState,
+pub(super) struct PeerReport {
+    /// The VM of the gateway.
+    pub(super) vm: String,
+    /// The declarations that it uses.
+    pub(super) state: DeclaredState,
 }
 
 /// Writes one line when the declarations turn stale, and one when they may
@@ -85,7 +86,7 @@
         let TimedAnswer { requested_at, value } =
             asks.next(|| Some(ask_random_peer(core.clone()))).await;
         if let Some(report) = value {
-            apply_report(&core, report, requested_at).await;
+            core.apply_report(&report, requested_at);
         }
         if core.declarations.borrow().needs_confirmation(Instant::now()) {
             core.timer.sleep(ASK_RETRY_DELAY).await;
@@ -97,48 +98,17 @@
 async fn ask_random_peer(core: Rc<GatewayCore>) -> Option<PeerReport> {
     let (vm, peer) = core.random_peer()?;
     let state = fetch_state(&core, peer, None).await?;
-    Some(PeerReport { vm, peer, state })
-}
-
-/// Applies the answer of another gateway. If its declarations are newer,
-/// fetches and applies them.
-async fn apply_report(
-    core: &GatewayCore,
-    report: PeerReport,
-    requested_at: Instant,
-) {
-    let PeerReport { vm, peer, state } = report;
-    let known = core.declarations.borrow().version();
-    if known >= Some(state.version) {
-        core.apply_peer_confirmation(&vm, &state, requested_at);
-        return;
-    }
-    core.record_newer(&vm, &state);
-    // The text is large and may take long to arrive. The newer version is
-    // recorded first, so that the old one turns stale in the meantime.
-    let requested_at = Instant::now();
-    let text_after = Some(known.unwrap_or_default());
-    let Some(state) = fetch_state(core, peer, text_after).await else {
-        return;
-    };
-    let Some(text) = state.text.as_deref() else {
-        return;
-    };
-    if let Some(catalog) = core.ports.catalog.decode(text) {
-        let declared = DeclaredCatalog { catalog, text: text.into() };
-        core.apply_catalog(declared, requested_at, &vm);
-        core.apply_peer_confirmation(&vm, &state, requested_at);
-    }
+    Some(PeerReport { vm, state })
 }
 
 /// Fetches the state of the declarations at `peer`, with their text if they
 /// are newer than `text_after`.
-async fn fetch_state(
+pub(super) async fn fetch_state(
     core: &GatewayCore,
     peer: SocketAddr,
     text_after: Option<u64>,
 ) -> Option<DeclaredState> {
-    let call = PeerCall::Declared { text_after };
+    let call = PeerCall::Declared { text_after, notice: None };
     match core.ports.peers.call(peer, call).await {
         Ok(PeerAnswer::Declared(state)) => state,
         // The next call goes to another random gateway.
@@ -147,6 +117,47 @@
 }
 
 impl GatewayCore {
+    /// Applies the answer of another gateway to a call that began at
+    /// `requested_at`.
+    pub(super) fn apply_report(
+        &self,
+        report: &PeerReport,
+        requested_at: Instant,
+    ) {
+        let PeerReport { vm, state } = report;
+        let known = self.declarations.borrow().version();
+        if known < Some(state.version)
+            && !self.apply_text(report, requested_at)
+        {
+            self.record_newer(vm, state);
+            self.spread.note_source(vm, state.version);
+            return;
+        }
+        self.apply_peer_confirmation(vm, state, requested_at);
+        let known = self.declarations.borrow().version();
+        if known == Some(state.version) {
+            self.declarations.borrow_mut().advance(state.position);
+            self.ports.catalog.advance(state.position);
+        }
+    }
+
+    /// Applies the text that another gateway has sent; returns `false` if
+    /// there is none.
+    fn apply_text(&self, report: &PeerReport, requested_at: Instant) -> bool {
+        let Some(text) = &report.state.text else {
+            return false;
+        };
+        let unpacked = text.unpack();
+        let catalog =
+            unpacked.and_then(|text| self.ports.catalog.decode(&text));
+        let Some(catalog) = catalog else {
+            return false;
+        };
+        let declared = DeclaredCatalog { catalog, text: text.clone() };
+        self.apply_catalog(declared, requested_at, &report.vm);
+        true
+    }
+
     /// Records a confirmation if the other gateway uses the same version.
     fn apply_peer_confirmation(
         &self,
@@ -174,8 +185,10 @@
         let mut tracker = self.declarations.borrow_mut();
         let known = tracker.version().unwrap_or_default();
         let since = Instant::now().checked_sub(state.in_force);
-        tracker
-            .record_newer(state.version, since.unwrap_or_else(Instant::now));
+        let since = since.unwrap_or_else(Instant::now);
+        if !tracker.record_newer(state.version, since) {
+            return;
+        }
         log::info!(
             event:% = LogEvent::CatalogOutdated,
             catalog = known, newer = state.version, peer = vm,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -10,7 +10,7 @@
 use super::{
     CallRequest, DeclarationTracker, GatewayFront, LatencyEstimator,
     LeavePlan, StaleReason, VersionChoice, crashes::CrashProbes,
-    moves::ServiceMoves,
+    moves::ServiceMoves, spread::DeclarationSpread,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -141,6 +141,8 @@
     pub(super) catalog: RefCell<Option<Rc<RouteCatalog>>>,
     /// Tracks whether the operators' declarations are current.
     pub(super) declarations: RefCell<DeclarationTracker>,
+    /// How new declarations spread among the gateways.
+    pub(super) spread: DeclarationSpread,
     pub(super) moves: RefCell<ServiceMoves>,
     pub(super) roster: RefCell<UpstreamRoster>,
     /// Tracks when the registries were unreachable.
@@ -236,6 +238,11 @@
                 newer.version,
                 (now - newer.since).as_millis()
             ),
+            StaleReason::Unread(age) => format!(
+                "newer declarations are not known here yet; these are {} ms \
+                 old",
+                age.as_millis()
+            ),
             StaleReason::LateAnswers(age) => format!(
                 "the declarations arrive late and are {} ms old",
                 age.as_millis()
@@ -322,6 +329,7 @@
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         let now = Instant::now();
         self.declarations.borrow_mut().adopt(version, text, now);
+        self.spread.note_adopted();
         let known = KnownState { control_next: 0, list_version: 0 };
         self.members.set_known_state(known);
         self.refresh_upstreams();
--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -13,15 +13,16 @@
 //!   router can reach the store, nobody can change the declarations either.
 //!   If this router alone is cut off, its callers have no other router.
 //! * Stale: another router has used newer declarations for a while, or the
-//!   last answer of the store was delayed, as on a congested link, and is too
-//!   old by now. All requests are rejected.
+//!   store has newer ones that could not be read in time, or its last answer
+//!   was delayed, as on a congested link, and is too old by now. All requests
+//!   are rejected.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use crate::ports::DeclaredState;
+use crate::{
+    catalog::PackedText,
+    ports::{DeclaredState, TopicPosition},
+};
 
 /// Time within which a change must be in force everywhere, unless the
 /// settings say otherwise.
@@ -53,7 +54,17 @@
 #[derive(Clone, Debug)]
 struct CurrentDeclaration {
     version: u64,
-    text: Rc<str>,
+    text: PackedText,
+    since: Instant,
+}
+
+/// Records of the operators' topic that this router has not read, and which
+/// may hold newer declarations.
+#[derive(Clone, Copy, Debug)]
+struct UnreadRecords {
+    /// The position after the last of them.
+    end: TopicPosition,
+    /// Since when the router is behind, or when it last caught up in part.
     since: Instant,
 }
 
@@ -72,6 +83,9 @@
 pub enum StaleReason {
     /// Another router uses newer declarations.
     Superseded(NewerDeclaration),
+    /// The store has newer declarations that are not known here; those known
+    /// were confirmed this long ago.
+    Unread(Duration),
     /// The store answers late; the declarations were confirmed this long ago
     /// and may have changed since.
     LateAnswers(Duration),
@@ -82,6 +96,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             StaleReason::Superseded(_) => "superseded",
+            StaleReason::Unread(_) => "unread",
             StaleReason::LateAnswers(_) => "late_answers",
         }
     }
@@ -95,17 +110,18 @@
 /// ```
 /// use std::time::{Duration, Instant};
 ///
-/// use magnoliahaven::gateway::DeclarationTracker;
+/// use magnoliahaven::{catalog::PackedText, gateway::DeclarationTracker};
 ///
 /// let start = Instant::now();
+/// let text = PackedText::pack("{}");
 /// let mut tracker = DeclarationTracker::new();
-/// tracker.adopt(3, "{}".into(), start);
+/// tracker.adopt(3, text.clone(), start);
 /// tracker.record_store_answer(start, start);
 /// assert!(tracker.is_fresh(start + Duration::from_secs(1)));
 /// tracker.record_newer(4, start + Duration::from_secs(1));
 /// let later = start + Duration::from_secs(3);
 /// assert!(tracker.staleness(later).is_some());
-/// tracker.adopt(4, "{}".into(), later);
+/// tracker.adopt(4, text, later);
 /// assert!(tracker.staleness(later).is_none());
 /// ```
 #[derive(Clone, Debug)]
@@ -118,6 +134,9 @@
     /// When the last answer of the store arrived.
     answered_at: Option<Instant>,
     newer: Option<NewerDeclaration>,
+    /// The position up to which there are no newer declarations.
+    position: Option<TopicPosition>,
+    unread: Option<UnreadRecords>,
 }
 
 impl DeclarationTracker {
@@ -129,6 +148,8 @@
             confirmed_at: None,
             answered_at: None,
             newer: None,
+            position: None,
+            unread: None,
         }
     }
 
@@ -147,9 +168,40 @@
     }
 
     /// Replaces the declarations that the router uses.
-    pub fn adopt(&mut self, version: u64, text: Rc<str>, now: Instant) {
+    pub fn adopt(&mut self, version: u64, text: PackedText, now: Instant) {
         self.current = Some(CurrentDeclaration { version, text, since: now });
         self.newer = self.newer.filter(|newer| newer.version > version);
+        if let Some(unread) = &mut self.unread {
+            unread.since = now;
+        }
+    }
+
+    /// Records that there are no declarations before `position` that are
+    /// newer than those here.
+    pub fn advance(&mut self, position: TopicPosition) {
+        self.position = self.position.max(Some(position));
+        self.unread = self.unread.filter(|unread| unread.end > position);
+    }
+
+    /// Records an answer of the store that arrived at `now`: its topic ends
+    /// at `end`, and there may be newer declarations before that.
+    pub fn record_unread(&mut self, end: TopicPosition, now: Instant) {
+        self.answered_at = self.answered_at.max(Some(now));
+        if self.position >= Some(end) {
+            return;
+        }
+        let known = self.unread.unwrap_or(UnreadRecords { end, since: now });
+        let end = known.end.max(end);
+        self.unread = Some(UnreadRecords { end, ..known });
+    }
+
+    /// Returns for how long this router has known of newer declarations
+    /// without getting any; `None` if it knows of none.
+    pub fn behind_for(&self, now: Instant) -> Option<Duration> {
+        let unread = self.unread.map(|unread| unread.since);
+        let newer = self.newer.map(|newer| newer.since);
+        let since = [unread, newer].into_iter().flatten().min()?;
+        Some(now.saturating_duration_since(since))
     }
 
     /// Records an answer of the store that arrived at `now`. The declarations
@@ -166,18 +218,21 @@
         self.newer = self.newer.filter(|newer| newer.since > at);
     }
 
-    /// Records that another router has used a newer version since `since`.
-    pub fn record_newer(&mut self, version: u64, since: Instant) {
+    /// Records that another router has used a newer version since `since`;
+    /// returns `false` if that or a newer one was known.
+    pub fn record_newer(&mut self, version: u64, since: Instant) -> bool {
         if self.version().is_some_and(|current| current >= version) {
-            return;
+            return false;
         }
         let newer = NewerDeclaration { version, since };
+        let was_unknown = self.newer.is_none_or(|n| n.version < version);
         // This router has been behind since the first of the newer versions.
         let known = self.newer.unwrap_or(newer);
         self.newer = Some(NewerDeclaration {
             version: known.version.max(version),
             since: known.since.min(since),
         });
+        was_unknown
     }
 
     /// Returns the time since the last confirmation, or `None` if there was
@@ -210,6 +265,9 @@
             }
         }
         let age = self.age(now)?;
+        if self.unread.is_some() && age >= self.apply_time {
+            return Some(StaleReason::Unread(age));
+        }
         let gap = now.saturating_duration_since(self.answered_at?);
         // `age - gap` is the age of the last answer on its arrival.
         let was_late = age.saturating_sub(gap) >= LATE_ANSWER_AGE;
@@ -231,7 +289,8 @@
             version: current.version,
             age: self.age(now)?,
             in_force: now.saturating_duration_since(current.since),
-            text: wants_text.then(|| current.text.to_string()),
+            position: self.position.unwrap_or_default(),
+            text: wants_text.then(|| current.text.clone()),
         })
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,7 +13,7 @@
     membership::RosterChange,
     ports::{PeerAnswer, PeerCall, UpstreamEvent, VmList},
     routing::AssignedUpstream,
-    runtime::spawn,
+    runtime::{RetryBackoff, spawn},
     telemetry::{DependencyLog, LogEvent},
     timer::TimerService,
 };
@@ -34,24 +34,21 @@
 /// Reads the declarations and the orders of version moves. Never returns.
 pub(super) async fn run_catalog(core: Rc<GatewayCore>) {
     let dependency = DependencyLog::new("declarations");
+    let mut retry = RetryBackoff::new();
     loop {
-        let next = core.ports.catalog.next().await;
+        let next = core.ports.catalog.next(core.read_scope()).await;
         match next {
             Ok(update) => {
+                retry = RetryBackoff::new();
                 dependency.note_answer();
                 core.outage.borrow_mut().record_success(Instant::now());
-                for order in update.orders {
-                    core.apply_order(order);
-                }
-                if let Some(declared) = update.catalog {
-                    core.apply_catalog(declared, update.requested_at, "store");
-                }
-                core.record_catalog_read(update.requested_at);
+                let pause = core.apply_declared_changes(update);
+                core.timer.sleep(pause).await;
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
                 core.outage.borrow_mut().record_failure(Instant::now());
-                core.timer.sleep(RETRY_DELAY).await;
+                core.timer.sleep(retry.next_delay()).await;
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,8 @@
 //! * `declared` tracks whether the operators' declarations are current
 //!   ([`DeclarationTracker`]); `confirm` asks other routers when the store
 //!   cannot be read.
+//! * `spread` bounds how many gateways read changed declarations from the
+//!   store; the others get them from each other.
 //! * `limits` obeys the rate limits that upstreams name.
 //! * `leave` decides which requests are accepted during a shutdown
 //!   ([`LeavePlan`]).
@@ -54,6 +56,7 @@
 mod relay;
 mod request;
 mod serve;
+mod spread;
 mod witness;
 
 pub use self::{
@@ -66,4 +69,5 @@
     patience::{LatencyEstimator, expected_latency},
     process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
+    spread::{announcement_fanout, reader_count},
 };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,8 +6,8 @@
 use crate::{
     domain::PortionId,
     ports::{
-        DeclaredState, LendReply, PeerAnswer, PeerCall, PeerHandler,
-        PortFuture,
+        DeclaredNotice, DeclaredState, LendReply, PeerAnswer, PeerCall,
+        PeerHandler, PortFuture,
     },
     runtime::spawn,
     telemetry::LogEvent,
@@ -38,12 +38,11 @@
                     let departed = self.roster.borrow().departures(now);
                     PeerAnswer::Departed(departed)
                 }
-                PeerCall::Declared { text_after } => {
-                    let now = Instant::now();
-                    let state =
-                        self.declarations.borrow().state(now, text_after);
-                    log_sent_text(state.as_ref());
-                    PeerAnswer::Declared(state)
+                PeerCall::Declared { text_after, notice } => {
+                    if let Some(DeclaredNotice { vm, version }) = notice {
+                        self.record_notice(&vm, version);
+                    }
+                    PeerAnswer::Declared(self.declared_state(text_after))
                 }
                 PeerCall::Parts(report) => self.apply_part_report(&report),
                 PeerCall::Limits(observations) => {
@@ -64,22 +63,38 @@
     }
 }
 
-/// Logs that an answer to another router includes the text.
-fn log_sent_text(state: Option<&DeclaredState>) {
-    let Some(state) = state else {
-        return;
-    };
-    let Some(text) = &state.text else {
-        return;
-    };
-    log::info!(
-        event:% = LogEvent::CatalogSent,
-        catalog = state.version, bytes = text.len();
-        "declarations sent to another router"
-    );
-}
-
 impl GatewayCore {
+    /// Records that another router has announced its declarations.
+    fn record_notice(&self, vm: &str, version: u64) {
+        if self.declarations.borrow().version() < Some(version) {
+            self.spread.note_source(vm, version);
+        }
+    }
+
+    /// Returns the state of the declarations for another router, without the
+    /// text if others have just been sent it.
+    fn declared_state(
+        &self,
+        text_after: Option<u64>,
+    ) -> Option<DeclaredState> {
+        let now = Instant::now();
+        let mut state = self.declarations.borrow().state(now, text_after)?;
+        let Some(text) = &state.text else {
+            return Some(state);
+        };
+        let bytes = text.as_bytes().len();
+        if !self.spread.try_send(bytes, now) {
+            state.text = None;
+            return Some(state);
+        }
+        log::info!(
+            event:% = LogEvent::CatalogSent,
+            catalog = state.version, bytes;
+            "declarations sent to another router"
+        );
+        Some(state)
+    }
+
     /// Calls all other routers without waiting for their answers.
     ///
     /// A router that misses the call asks for what it has missed.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -12,7 +12,9 @@
     DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
     crashes::CrashProbes,
     entry::{self, ListenerRole},
-    follow, limits, moves, parts, witness,
+    follow, limits, moves, parts,
+    spread::{self, DeclarationSpread},
+    witness,
 };
 use crate::{
     adapters::peer::PeerThread,
@@ -70,6 +72,8 @@
         self.start_listener(addresses.readiness, ListenerRole::Readiness)?;
         run_forever("catalog", &core, follow::run_catalog);
         run_forever("confirmation", &core, confirm::run_confirmation);
+        run_forever("announcement", &core, spread::run_announcement);
+        run_forever("text_fetch", &core, spread::run_fetch);
         run_forever("upstreams", &core, follow::run_upstreams);
         run_forever("vm_list", &core, follow::run_vm_list);
         run_forever("moves", &core, moves::run_moves);
@@ -177,6 +181,7 @@
         token_shortage_until: Cell::new(None),
         catalog: RefCell::new(None),
         declarations: RefCell::new(declarations),
+        spread: DeclarationSpread::new(),
         moves: RefCell::default(),
         roster: RefCell::new(UpstreamRoster::new()),
         outage: RefCell::new(OutageTracker::new()),
--- a/src/ports/declared.rs
+++ b/src/ports/declared.rs
@@ -1,9 +1,9 @@
 //! Declarations of operators and registrations of upstreams.
 
-use std::{net::SocketAddr, rc::Rc, time::Instant};
+use std::{net::SocketAddr, time::Instant};
 
-use super::{KeyedFault, MoveOrder, PortFuture};
-use crate::catalog::RouteCatalog;
+use super::{KeyedFault, MoveOrder, PortFuture, TopicPosition};
+use crate::catalog::{PackedText, RouteCatalog};
 
 /// A route catalog with the text that declares it.
 #[derive(Clone, Debug)]
@@ -11,7 +11,16 @@
     /// The parsed catalog.
     pub catalog: RouteCatalog,
     /// The text, in the format that the adapter of [`CatalogPort`] reads.
-    pub text: Rc<str>,
+    pub text: PackedText,
+}
+
+/// What a read of the declarations returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadScope {
+    /// New declarations with their text, which may be large.
+    Text,
+    /// Whether there are new declarations. The answer is small.
+    Position,
 }
 
 /// The declarations since the previous call.
@@ -19,6 +28,13 @@
 pub struct DeclaredChanges {
     /// When the read was sent. Later declarations may be missing.
     pub requested_at: Instant,
+    /// The position up to which everything was read.
+    pub position: Option<TopicPosition>,
+    /// The end of the topic, if there may be newer declarations before it
+    /// that this read did not return.
+    pub unread_end: Option<TopicPosition>,
+    /// Size of the records that were read, in bytes.
+    pub read_bytes: usize,
     /// A catalog, if a new one was declared.
     pub catalog: Option<DeclaredCatalog>,
     /// New orders to move services to other versions.
@@ -30,12 +46,19 @@
     /// Waits for new declarations.
     ///
     /// Returns no changes if none were made within the wait time of one
-    /// call.
+    /// call. `scope` determines whether the text of a change is read.
     ///
     /// # Errors
     ///
     /// After any fault the last known catalog stays in use.
-    fn next(&self) -> PortFuture<'_, Result<DeclaredChanges, KeyedFault>>;
+    fn next(
+        &self,
+        scope: ReadScope,
+    ) -> PortFuture<'_, Result<DeclaredChanges, KeyedFault>>;
+
+    /// Skips everything before `position`, because another router has read
+    /// it.
+    fn advance(&self, position: TopicPosition);
 
     /// Parses a text that another router has read; returns `None` if it is
     /// not valid.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -34,8 +34,8 @@
 
 pub use self::{
     declared::{
-        CatalogPort, DeclaredCatalog, DeclaredChanges, UpstreamEntry,
-        UpstreamEvent, UpstreamListPort,
+        CatalogPort, DeclaredCatalog, DeclaredChanges, ReadScope,
+        UpstreamEntry, UpstreamEvent, UpstreamListPort,
     },
     forward::{
         ForwardCall, ForwardConnection, ForwardPort, ForwardReply,
@@ -49,10 +49,10 @@
     moves::{MoveOrder, MovePort, MoveStatus},
     peer::{
         AccountAllowance, AllowanceReport, ClaimReply, ClaimRequest,
-        DeclaredState, EvidenceReport, KnownState, LendReply, LendRequest,
-        MemberStatus, MemberUpdate, NewerState, PartReport, PeerAnswer,
-        PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage, RelayBatch,
-        RelayedBill, UpstreamDeparture,
+        DeclaredNotice, DeclaredState, EvidenceReport, KnownState, LendReply,
+        LendRequest, MemberStatus, MemberUpdate, NewerState, PartReport,
+        PeerAnswer, PeerCall, PeerFault, PeerHandler, PeerPort, PingMessage,
+        RelayBatch, RelayedBill, UpstreamDeparture,
     },
     upstream::{
         UpstreamBody, UpstreamCall, UpstreamConnection, UpstreamFault,
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -5,8 +5,9 @@
 use snafu::Snafu;
 
 use {
-    super::PortFuture,
+    super::{PortFuture, TopicPosition},
     crate::{
+        catalog::PackedText,
         domain::{BillId, HolderId, PortionId},
         routing::{LimitObservation, QuarantinedPart},
     },
@@ -155,8 +156,21 @@
     pub age: Duration,
     /// Time since the router began to apply them.
     pub in_force: Duration,
-    /// The text of the declarations, if it was asked for.
-    pub text: Option<String>,
+    /// The position in the operators' topic up to which the router knows
+    /// that there are no newer ones.
+    pub position: TopicPosition,
+    /// The text of the declarations, if it was asked for and the router can
+    /// send it now.
+    pub text: Option<PackedText>,
+}
+
+/// Tells a router which declarations the caller applies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeclaredNotice {
+    /// The VM of the caller.
+    pub vm: String,
+    /// The version of the declarations there.
+    pub version: u64,
 }
 
 /// An upstream that must not receive new requests.
@@ -250,6 +264,8 @@
         /// Asks for the text too if its version is higher than this one;
         /// `None` asks for no text.
         text_after: Option<u64>,
+        /// The declarations that the caller applies, if they are new.
+        notice: Option<DeclaredNotice>,
     },
     /// Reports on prompt parts and asks which ones are in quarantine.
     Parts(PartReport),
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,6 +1,7 @@
 //! The `monoio` runtime: starting a process, tasks, timers, overlapping
 //! calls.
 
+mod backoff;
 mod launch;
 mod overlap;
 mod task;
@@ -8,6 +9,7 @@
 use std::{future::Future, io, time::Duration};
 
 pub use self::{
+    backoff::RetryBackoff,
     launch::{
         EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
     },
--- a/tests/declared.rs
+++ b/tests/declared.rs
@@ -2,8 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use magnoliahaven::gateway::{
-    DeclarationTracker, NewerDeclaration, StaleReason,
+use magnoliahaven::{
+    catalog::PackedText,
+    gateway::{
+        DeclarationTracker, NewerDeclaration, StaleReason,
+        announcement_fanout, reader_count,
+    },
+    ports::TopicPosition,
 };
 
 const fn ms(value: u64) -> Duration {
@@ -13,7 +18,7 @@
 /// Returns a tracker with version 3, adopted and confirmed at `start`.
 fn tracker(start: Instant) -> DeclarationTracker {
     let mut tracker = DeclarationTracker::new();
-    tracker.adopt(3, "three".into(), start);
+    tracker.adopt(3, PackedText::pack("three"), start);
     tracker.record_store_answer(start, start);
     tracker
 }
@@ -25,7 +30,7 @@
 ) -> Option<NewerDeclaration> {
     match tracker.staleness(now)? {
         StaleReason::Superseded(newer) => Some(newer),
-        StaleReason::LateAnswers(_) => None,
+        StaleReason::Unread(_) | StaleReason::LateAnswers(_) => None,
     }
 }
 
@@ -98,9 +103,9 @@
     assert_eq!(newer.version, 23);
     assert_eq!(newer.since, start + ms(100));
     // An intermediate version is still too old.
-    tracker.adopt(10, "ten".into(), start + ms(1_200));
+    tracker.adopt(10, PackedText::pack("ten"), start + ms(1_200));
     assert!(superseded_by(&tracker, start + ms(1_200)).is_some());
-    tracker.adopt(23, "all".into(), start + ms(1_300));
+    tracker.adopt(23, PackedText::pack("all"), start + ms(1_300));
     assert!(superseded_by(&tracker, start + ms(9_000)).is_none());
 }
 
@@ -126,7 +131,7 @@
     assert_eq!((state.in_force, state.text), (ms(700), None));
     assert_eq!(tracker.state(now, Some(3)).unwrap().text, None);
     let text = tracker.state(now, Some(2)).unwrap().text;
-    assert_eq!(text.as_deref(), Some("three"));
+    assert_eq!(text, Some(PackedText::pack("three")));
     assert_eq!(DeclarationTracker::new().state(now, Some(0)), None);
 }
 
@@ -191,3 +196,65 @@
     assert_eq!(superseded_by(&tracker, start + ms(3_500)), None);
     assert!(superseded_by(&tracker, start + ms(3_600)).is_some());
 }
+
+const fn position(offset: u64) -> TopicPosition {
+    TopicPosition { era: 0, offset }
+}
+
+/// The store has a newer version, and neither it nor another router sends its
+/// text. The version here was still in force when it was last confirmed.
+#[test]
+fn unread_declarations_make_those_in_use_stale_in_time() {
+    let start = Instant::now();
+    let mut tracker = tracker(start);
+    tracker.advance(position(7));
+    tracker.record_unread(position(8), start + ms(300));
+    assert_eq!(tracker.staleness(start + ms(1_999)), None);
+    let stale = Some(StaleReason::Unread(ms(2_000)));
+    assert_eq!(tracker.staleness(start + ms(2_000)), stale);
+    tracker.adopt(4, PackedText::pack("four"), start + ms(2_100));
+    tracker.advance(position(8));
+    assert_eq!(tracker.staleness(start + ms(2_100)), None);
+    assert_eq!(tracker.behind_for(start + ms(2_100)), None);
+}
+
+/// In a storm of changes a router is always behind. As long as it gets newer
+/// texts, it does not count as one that gets none.
+#[test]
+fn a_router_that_catches_up_in_part_is_behind_for_a_short_time() {
+    let start = Instant::now();
+    let mut tracker = tracker(start);
+    for change in 1..=10 {
+        let now = start + ms(300) * change;
+        tracker.record_unread(position(u64::from(change)), now);
+        assert!(tracker.behind_for(now) <= Some(ms(300)));
+        let text = PackedText::pack("more");
+        tracker.adopt(3 + u64::from(change), text, now);
+    }
+}
+
+/// A gateway that reaches no other one reads the text well before the time
+/// within which it has to know it, however many gateways there are.
+#[yare::parameterized(
+    grown = { 71, 3_000 },
+    large = { 295, 4_000 },
+    target = { 411, 6_000 },
+)]
+fn every_gateway_becomes_a_reader_in_time(gateways: usize, apply_ms: u64) {
+    let apply_time = ms(apply_ms);
+    assert!(reader_count(ms(0), apply_time) < 10);
+    assert!(reader_count(apply_time.mul_f64(0.61), apply_time) >= gateways);
+    assert!(reader_count(ms(3_600_000), apply_time) >= gateways);
+    assert!(announcement_fanout(gateways) as f64 > (gateways as f64).ln());
+}
+
+#[test]
+fn a_packed_text_is_unpacked_as_it_was_and_others_are_not() {
+    let text = "{\"routes\": []}".repeat(20_000);
+    let packed = PackedText::pack(&text);
+    assert!(packed.as_bytes().len() * 10 < text.len());
+    assert_eq!(packed.unpack(), Some(text));
+    assert_eq!(PackedText::from_bytes(vec![7; 40]).unpack(), None);
+    let endless = PackedText::pack(&"x".repeat(9 * 1024 * 1024));
+    assert_eq!(endless.unpack(), None);
+}
