CONFIG: a store that refuses was taken for one that is down

Callers saw: requests were run by old declarations ten seconds after the store had last answered, although it was sound and had accepted changes since.

Cause: declarations are not used while answers come late, but ten seconds after the last answer a gateway took the store for down, or itself for cut off, and served on by what it knew. A refusal is an answer: a store that has more reads than it can do refuses them, and accepts changes all the same.

Own test: answers 0.7 s late each way, then 503: a dropped key was served 9.4 and 9.9 s after its change, where 2 s are allowed.

Change: the ten seconds count from the last answer or refusal. A read that was not made counts as lost, not as refused. An outage after prompt answers is served through as before, with and without refusals.

--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -42,8 +42,9 @@
 /// had them.
 const SUPERSEDED_FRACTION: f64 = 0.5;
 
-/// If late answers are followed by none for this long, the store is down or
-/// this router is cut off, rather than its link congested.
+/// If the store has been silent for this long, it is down or this router is
+/// cut off, rather than its link congested. A refusal is not silence: a store
+/// that refuses reads may still accept changes.
 const OUTAGE_GAP: Duration = Duration::from_secs(10);
 
 /// An answer that is older than this on arrival was delayed in transit. Reads
@@ -133,6 +134,8 @@
     confirmed_at: Option<Instant>,
     /// When the last answer of the store arrived.
     answered_at: Option<Instant>,
+    /// When the store last refused a read.
+    refused_at: Option<Instant>,
     newer: Option<NewerDeclaration>,
     /// The position up to which there are no newer declarations.
     position: Option<TopicPosition>,
@@ -147,6 +150,7 @@
             current: None,
             confirmed_at: None,
             answered_at: None,
+            refused_at: None,
             newer: None,
             position: None,
             unread: None,
@@ -211,6 +215,11 @@
         self.record_peer_confirmation(at);
     }
 
+    /// Records that the store refused a read.
+    pub fn record_refusal(&mut self, now: Instant) {
+        self.refused_at = self.refused_at.max(Some(now));
+    }
+
     /// Records that another router had the same declarations confirmed at
     /// `at`.
     pub fn record_peer_confirmation(&mut self, at: Instant) {
@@ -265,14 +274,19 @@
             }
         }
         let age = self.age(now)?;
-        if self.unread.is_some() && age >= self.apply_time {
+        let answered_at = self.answered_at?;
+        let heard_at = self.refused_at.max(Some(answered_at))?;
+        let silence = now.saturating_duration_since(heard_at);
+        if age < self.apply_time || silence >= OUTAGE_GAP {
+            return None;
+        }
+        if self.unread.is_some() {
             return Some(StaleReason::Unread(age));
         }
-        let gap = now.saturating_duration_since(self.answered_at?);
-        // `age - gap` is the age of the last answer on its arrival.
-        let was_late = age.saturating_sub(gap) >= LATE_ANSWER_AGE;
-        let is_stale = was_late && gap < OUTAGE_GAP && age >= self.apply_time;
-        is_stale.then_some(StaleReason::LateAnswers(age))
+        let answer_age =
+            age.saturating_sub(now.saturating_duration_since(answered_at));
+        let was_late = answer_age >= LATE_ANSWER_AGE;
+        was_late.then_some(StaleReason::LateAnswers(age))
     }
 
     /// Returns the state that is reported to another router. It includes the
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,7 +11,7 @@
 use super::GatewayCore;
 use crate::{
     membership::RosterChange,
-    ports::{PeerAnswer, PeerCall, UpstreamEvent, VmList},
+    ports::{KeyedFault, PeerAnswer, PeerCall, UpstreamEvent, VmList},
     routing::AssignedUpstream,
     runtime::{RetryBackoff, spawn},
     telemetry::{DependencyLog, LogEvent},
@@ -47,7 +47,11 @@
             }
             Err(fault) => {
                 dependency.note_fault(&fault);
-                core.outage.borrow_mut().record_failure(Instant::now());
+                let now = Instant::now();
+                core.outage.borrow_mut().record_failure(now);
+                if matches!(fault, KeyedFault::Refused { .. }) {
+                    core.declarations.borrow_mut().record_refusal(now);
+                }
                 core.timer.sleep(retry.next_delay()).await;
             }
         }
--- a/tests/declared.rs
+++ b/tests/declared.rs
@@ -258,3 +258,33 @@
     let endless = PackedText::pack(&"x".repeat(9 * 1024 * 1024));
     assert_eq!(endless.unpack(), None);
 }
+
+/// The store is overloaded: its answers came late, and now it refuses reads.
+/// It may still accept changes, so the declarations may be old.
+#[test]
+fn declarations_stay_stale_while_an_overloaded_store_refuses() {
+    let start = Instant::now();
+    let mut tracker = tracker(start);
+    tracker.record_store_answer(start + ms(500), start + ms(2_100));
+    for refusal in 1..=60 {
+        let now = start + ms(2_100) + ms(500) * refusal;
+        tracker.record_refusal(now);
+        assert!(tracker.staleness(now).is_some(), "after {refusal} refusals");
+    }
+    let last = start + ms(32_100);
+    assert!(tracker.staleness(last + ms(9_900)).is_some());
+    assert_eq!(tracker.staleness(last + ms(10_000)), None);
+}
+
+/// The answers before an outage were prompt, and then the store refuses.
+#[test]
+fn refusals_alone_do_not_make_declarations_stale() {
+    let start = Instant::now();
+    let mut tracker = tracker(start);
+    tracker.record_store_answer(start + ms(500), start + ms(1_010));
+    for refusal in 1..=60 {
+        let now = start + ms(1_010) + ms(500) * refusal;
+        tracker.record_refusal(now);
+        assert_eq!(tracker.staleness(now), None);
+    }
+}
