CONFIG: a read that panics or is cancelled counted as under way for good

A gateway on which it happens would read neither declarations nor upstreams for as long as it runs, and serve by old ones.

Cause: four counts of calls were raised before an await and lowered behind it. A call that is dropped at the await, as one of a task that panics, leaves its count raised; two such reads of the newest records, or one body that is being received, end all reads.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -1,7 +1,7 @@
 //! The HTTP client, with a pool of keep-alive connections.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -21,7 +21,7 @@
     encode::{encode_message, payload_of},
     reply::MEMORY_UNIT,
 };
-use crate::runtime::spawn;
+use crate::runtime::{InFlightCount, spawn};
 
 /// Default maximum of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -71,7 +71,7 @@
     idle_timeout: Duration,
     pub(super) accepts_close_delimited: bool,
     late_connect_timeout: Option<Duration>,
-    late_connects: Rc<Cell<usize>>,
+    late_connects: InFlightCount,
     /// Memory for large bodies of responses; `None` if it is not limited.
     pub(super) reply_memory: Option<Arc<Semaphore>>,
 }
@@ -87,7 +87,7 @@
             idle_timeout: IDLE_TIMEOUT,
             accepts_close_delimited: false,
             late_connect_timeout: None,
-            late_connects: Rc::default(),
+            late_connects: InFlightCount::new(),
             reply_memory: None,
         }
     }
@@ -192,10 +192,10 @@
     ) -> Result<TcpStream, HttpFault> {
         let (opened, awaited) = oneshot::channel();
         let client = self.clone();
-        self.late_connects.set(self.late_connects.get() + 1);
+        let late_connect = self.late_connects.start();
         spawn("late_connect", async move {
             let stream = open_stream(address, late_connect_timeout).await;
-            client.late_connects.set(client.late_connects.get() - 1);
+            drop(late_connect);
             // The request has timed out if the channel returns the value.
             if let Err(Ok(stream)) = opened.send(stream) {
                 let connection = HttpConnection::new(stream);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 //! calls.
 
 mod backoff;
+mod in_flight;
 mod launch;
 mod overlap;
 mod task;
@@ -10,6 +11,7 @@
 
 pub use self::{
     backoff::RetryBackoff,
+    in_flight::{InFlightCount, InFlightGuard},
     launch::{
         EXIT_SETTINGS, EXIT_START, EXIT_UNSETTLED, LaunchOptions, launch,
     },
