--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -171,7 +171,9 @@
         else {
             return;
         };
-        self.record_peer_confirmation(at);
+        if !self.record_peer_confirmation(at) {
+            return;
+        }
         log::info!(
             event:% = LogEvent::CatalogConfirmed,
             catalog = state.version, peer = vm,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -186,10 +186,13 @@
     }
 
     /// Records that another gateway had the same declarations confirmed at
-    /// `at`.
-    pub(super) fn record_peer_confirmation(&self, at: Instant) {
-        self.declarations.borrow_mut().record_peer_confirmation(at);
+    /// `at`; returns `false` if a later confirmation was known.
+    pub(super) fn record_peer_confirmation(&self, at: Instant) -> bool {
+        let mut tracker = self.declarations.borrow_mut();
+        let is_later = tracker.record_peer_confirmation(at);
+        drop(tracker);
         self.update_catalog_metric();
+        is_later
     }
 
     fn update_catalog_metric(&self) {
--- a/src/gateway/declared.rs
+++ b/src/gateway/declared.rs
@@ -221,10 +221,12 @@
     }
 
     /// Records that another router had the same declarations confirmed at
-    /// `at`.
-    pub fn record_peer_confirmation(&mut self, at: Instant) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+    /// `at`; returns `false` if a later confirmation was known.
+    pub fn record_peer_confirmation(&mut self, at: Instant) -> bool {
         self.newer = self.newer.filter(|newer| newer.since > at);
+        let is_later = self.confirmed_at < Some(at);
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        is_later
     }
 
     /// Records that another router has used a newer version since `since`;
