A change is read late after an outage: faults of late reads wait one after the other

Up to six reads that got no answer in an outage report it when they time out; with the growing delay after each of them a change was read 1.8 to 4.1 s after the end of the outage, where 1.5 s are allowed. The delay grows after refusals only.

Found by the tests that stood (a_change_during_a_silent_outage_is_in_force_soon_after, four cases), which pass again.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -49,10 +49,14 @@
                 dependency.note_fault(&fault);
                 let now = Instant::now();
                 core.outage.borrow_mut().record_failure(now);
+                // A store that refuses may be overloaded. After calls without
+                // an answer, those in flight may be answered soon.
+                let mut delay = RETRY_DELAY;
                 if matches!(fault, KeyedFault::Refused { .. }) {
                     core.declarations.borrow_mut().record_refusal(now);
+                    delay = retry.next_delay();
                 }
-                core.timer.sleep(retry.next_delay()).await;
+                core.timer.sleep(delay).await;
             }
         }
     }
