CONFIG: requests are held past the time of their route by a router that searches upstreams for all that wait

Cause: when a slot is released, the queue looked for a free upstream for each waiting request, ranking all upstreams each time, then once more to find that none is left. With some hundred waiting requests and 256 upstreams that is a tenth of a second on a whole core; on an eighth of one the router got to its timers and answers a second late. The cost grows with queue times upstreams, so that it shows on the large sites.

Change: a release looks for a waiting request only if a slot is free, asks for an upstream only for requests that would go first, and finds out whether there is one without ranking them. The decisions are the same.

--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -117,14 +117,18 @@
     ) -> Option<u64> {
         let mut best: Option<((u8, usize, u64), u64)> = None;
         for (ticket, request) in &self.waiting {
-            if request.deadline <= now || !fits(request) {
+            if request.deadline <= now {
                 continue;
             }
             let rank =
                 (request.priority, in_progress(&request.account), *ticket);
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, *ticket));
+            let is_better =
+                best.as_ref().is_none_or(|(least, _)| rank < *least);
+            // The search for an upstream that fits costs most.
+            if !is_better || !fits(request) {
+                continue;
             }
+            best = Some((rank, *ticket));
         }
         best.map(|(_, ticket)| ticket)
     }
--- a/src/routing/table/state.rs
+++ b/src/routing/table/state.rs
@@ -274,6 +274,36 @@
         best.map(|(_, vm)| vm)
     }
 
+    /// Returns whether [`TableState::best_free`] would find an upstream,
+    /// without ranking all of them.
+    fn has_free(&self, service: &str, queued: &QueuedRequest) -> bool {
+        let now = Instant::now();
+        let (mut serving, mut healthy) = (0, 0);
+        let (mut is_any_free, mut does_any_admit) = (false, false);
+        for entry in self.upstreams.values() {
+            if !entry.serves(service, queued) {
+                continue;
+            }
+            serving += 1;
+            healthy += usize::from(!entry.health.is_ejected(now));
+            if !entry.is_free(queued) {
+                continue;
+            }
+            is_any_free = true;
+            does_any_admit |= entry.health.admits(now, entry.in_progress);
+        }
+        let avoids_ejected = healthy * 2 >= serving;
+        if avoids_ejected { does_any_admit } else { is_any_free }
+    }
+
+    /// Returns whether any upstream of a service has an unclaimed slot.
+    fn has_slot(&self, service: &str) -> bool {
+        self.upstreams.values().any(|entry| {
+            entry.in_progress < entry.upstream.share
+                && entry.upstream.service == service
+        })
+    }
+
     /// Claims a slot at the best free upstream for a request.
     pub(super) fn claim_best(
         &mut self,
@@ -392,10 +422,11 @@
     ) -> Option<ServedRequest> {
         loop {
             let queue = self.queues.get(service)?;
+            if queue.is_empty() || !self.has_slot(service) {
+                return None;
+            }
             let count = |name: &str| self.in_progress_of(name);
-            let fits = |queued: &QueuedRequest| {
-                self.best_free(service, queued).is_some()
-            };
+            let fits = |queued: &QueuedRequest| self.has_free(service, queued);
             let ticket = queue.next_ticket(Instant::now(), count, fits)?;
             let queued = self.queues.get_mut(service)?.remove(ticket)?;
             let slot_sender =
