Logs: lines at a start were cut off, as one write held more than its reader took

What was seen: of 22 lines about upstreams that a gateway writes as it starts, the platform's record held 14, and none of those that followed in the same 50 ms; no line said that some were missing. So tokens lost with an earlier process could not be seen. Cause: all lines of 50 ms went out in one write, and about 8 KiB of it were kept. Change: pieces of whole lines of at most 4 KiB, which a pipe takes as a whole. The test many_lines_at_once_are_written_in_pieces_that_a_pipe_takes_whole failed before (a write of 4,949 bytes).

--- a/src/telemetry/pipe.rs
+++ b/src/telemetry/pipe.rs
@@ -12,6 +12,10 @@
 /// Bytes of lines that may wait to be written.
 const BUFFER_BYTES: usize = 512 * 1024;
 
+/// Most bytes of a write that holds more than one line. A pipe takes a write
+/// of this size as a whole.
+const WRITE_BYTES: usize = 4_096;
+
 /// Lines that arrive within this time are written together.
 const GROUP_TIME: Duration = Duration::from_millis(50);
 
@@ -142,8 +146,23 @@
             lines
         };
         // Nobody is left to tell about an output that is gone.
-        let _ = output.write_all(&lines).and_then(|()| output.flush());
+        let _ = write_pieces(&mut output, &lines);
         shared.state().is_writing = false;
         thread::sleep(GROUP_TIME);
     }
 }
+
+/// Writes `lines` in pieces of whole lines.
+fn write_pieces(output: &mut impl Write, lines: &[u8]) -> io::Result<()> {
+    let mut start = 0;
+    let mut end = 0;
+    for line in lines.split_inclusive(|byte| *byte == b'\n') {
+        if end > start && end + line.len() - start > WRITE_BYTES {
+            output.write_all(&lines[start..end])?;
+            start = end;
+        }
+        end += line.len();
+    }
+    output.write_all(&lines[start..])?;
+    output.flush()
+}
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, Write},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
@@ -83,6 +83,44 @@
     assert_eq!(output.bytes.load(Ordering::Relaxed), 1_000);
 }
 
+/// An output that keeps each write.
+#[derive(Clone, Default)]
+struct RecordedOutput {
+    writes: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+impl Write for RecordedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.writes.lock().unwrap().push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A reader that takes 8 KiB of a write lost the rest: half of the lines
+/// that a gateway writes at its start.
+#[test]
+fn many_lines_at_once_are_written_in_pieces_that_a_pipe_takes_whole() {
+    let output = RecordedOutput::default();
+    let mut pipe = LogPipe::new("vm-1", output.clone());
+    let mut expected = Vec::new();
+    for number in 0..200 {
+        let line = format!("{number:0100}\n");
+        expected.extend_from_slice(line.as_bytes());
+        pipe.write_all(line.as_bytes()).unwrap();
+    }
+    assert!(pipe.drain(Duration::from_secs(5)));
+    let writes = output.writes.lock().unwrap();
+    for write in writes.iter() {
+        assert!(write.len() <= 4_096, "{} bytes", write.len());
+        assert_eq!(write.last(), Some(&b'\n'));
+    }
+    assert_eq!(writes.concat(), expected);
+}
+
 #[test]
 fn lines_beyond_the_quota_are_counted_and_told_once_a_second() {
     let start = Instant::now();
