Log lines and metrics: tokens lost with a process, and charged by how a request ended

The lost tokens of an account were one sum. A record now says how much of it was reserved for requests in progress, a new process logs what its predecessor left (tokens_lost, magnolia_lost_tokens_total), and the end of a request names what was reserved and charged (magnolia_billed_tokens_total, and of these magnolia_unanswered_tokens_total).

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -66,6 +66,19 @@
     pub granted: u64,
 }
 
+/// Tokens that an earlier incarnation of this VM had taken and had not
+/// recorded as spent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TokenLoss {
+    /// The account.
+    pub account: String,
+    /// Tokens that are lost.
+    pub tokens: u64,
+    /// Those of them that were reserved for requests in progress when the
+    /// last record was written.
+    pub reserved: u64,
+}
+
 /// The records of all VMs and the usage of this VM.
 ///
 /// A record that takes tokens is a claim. It is granted when it is read back,
@@ -95,6 +108,7 @@
     /// This VM's records that have not been read back yet.
     unconfirmed: AllowanceBatch,
     cuts: Vec<ClaimCut>,
+    losses: Vec<TokenLoss>,
 }
 
 impl AllowanceLedger {
@@ -120,6 +134,7 @@
             loans: LentLoans::default(),
             unconfirmed: AllowanceBatch::default(),
             cuts: Vec::new(),
+            losses: Vec::new(),
         }
     }
 
@@ -322,12 +337,31 @@
         if record.incarnation != self.incarnation {
             // An earlier incarnation may have spent more than it recorded.
             // What it took beyond that is therefore never used again.
-            self.usage_mut(account, now).baseline = record;
+            self.set_baseline(account, record, now);
             return None;
         }
         Some((account.to_owned(), record))
     }
 
+    /// Takes over the last record of an earlier incarnation of this VM.
+    fn set_baseline(
+        &mut self,
+        account: &str,
+        record: AllowanceRecord,
+        now: Instant,
+    ) {
+        let usage = self.usage_mut(account, now);
+        let known = std::mem::replace(&mut usage.baseline, record);
+        if known == record || record.unspent() == 0 {
+            return;
+        }
+        self.losses.push(TokenLoss {
+            account: account.to_owned(),
+            tokens: record.unspent(),
+            reserved: record.reserved,
+        });
+    }
+
     /// Records which incarnation of a VM wrote last.
     fn note_writer(
         &mut self,
@@ -400,6 +434,11 @@
         std::mem::take(&mut self.cuts)
     }
 
+    /// Returns the losses that were found since the last call.
+    pub fn take_losses(&mut self) -> Vec<TokenLoss> {
+        std::mem::take(&mut self.losses)
+    }
+
     fn usage_mut(&mut self, account: &str, now: Instant) -> &mut AccountUsage {
         let horizon = self.horizon;
         let usage = self.usage.entry(account.to_owned());
--- a/src/allowance/hold.rs
+++ b/src/allowance/hold.rs
@@ -4,6 +4,25 @@
 
 use super::AllowanceKeeper;
 
+/// What one request is charged. It can be read after the request has ended.
+#[derive(Clone, Debug, Default)]
+pub struct TokenCharge {
+    reserved: u64,
+    used: Rc<Cell<u64>>,
+}
+
+impl TokenCharge {
+    /// Returns the tokens that were reserved for the request.
+    pub fn reserved(&self) -> u64 {
+        self.reserved
+    }
+
+    /// Returns the tokens that the request has used so far.
+    pub fn used(&self) -> u64 {
+        self.used.get()
+    }
+}
+
 /// Tokens reserved for one request and settled on drop.
 ///
 /// Dropping a hold charges the tokens last set by [`TokenHold::set_used`],
@@ -12,8 +31,7 @@
 pub struct TokenHold {
     keeper: Option<Rc<AllowanceKeeper>>,
     account: String,
-    tokens: u64,
-    used: Cell<u64>,
+    charge: TokenCharge,
 }
 
 impl TokenHold {
@@ -25,8 +43,7 @@
         TokenHold {
             keeper: Some(keeper),
             account: account.to_owned(),
-            tokens,
-            used: Cell::new(0),
+            charge: TokenCharge { reserved: tokens, used: Rc::default() },
         }
     }
 
@@ -35,31 +52,36 @@
         TokenHold {
             keeper: None,
             account: String::new(),
-            tokens: 0,
-            used: Cell::new(0),
+            charge: TokenCharge::default(),
         }
     }
 
     /// Returns the reserved tokens.
     pub fn tokens(&self) -> u64 {
-        self.tokens
+        self.charge.reserved()
+    }
+
+    /// Returns what the request is charged.
+    pub fn charge(&self) -> &TokenCharge {
+        &self.charge
     }
 
     /// Sets the tokens that the request has used so far in total.
     pub fn set_used(&self, tokens: u64) {
-        self.used.set(tokens);
+        self.charge.used.set(tokens);
     }
 
     /// Returns the tokens that the request has used so far.
     pub fn used(&self) -> u64 {
-        self.used.get()
+        self.charge.used()
     }
 }
 
 impl Drop for TokenHold {
     fn drop(&mut self) {
         if let Some(keeper) = &self.keeper {
-            keeper.settle(&self.account, self.tokens, self.used.get());
+            let TokenCharge { reserved, used } = &self.charge;
+            keeper.settle(&self.account, *reserved, used.get());
         }
     }
 }
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -83,6 +83,9 @@
     /// How many times the topic has been read up to its end.
     pub(super) complete_reads: Cell<u64>,
     pub(super) cut_claims: Cell<u64>,
+    /// Tokens lost with earlier incarnations of this VM, not yet counted in
+    /// the metrics.
+    pub(super) lost_tokens: Cell<u64>,
     pub(super) append_state: RefCell<AppendState>,
     /// Held while records are written and read back, so that only one task
     /// does so at a time.
@@ -136,6 +139,7 @@
             topic_state: DependencyLog::with_loss("allowance topic"),
             complete_reads: Cell::new(0),
             cut_claims: Cell::new(0),
+            lost_tokens: Cell::new(0),
             append_state,
             sync_lock: Mutex::new(()),
             is_draining: Cell::new(false),
@@ -218,6 +222,11 @@
         self.cut_claims.take()
     }
 
+    /// Returns the tokens that were found lost since the last call.
+    pub fn take_lost_tokens(&self) -> u64 {
+        self.lost_tokens.take()
+    }
+
     /// Returns the balance of an account.
     pub fn balance(&self, account: &str) -> AllowanceBalance {
         let prepaid = self.prepaid.borrow().get(account).copied();
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -40,8 +40,10 @@
 mod sync;
 
 pub use self::{
-    book::{AllowanceBalance, AllowanceBatch, AllowanceLedger, ClaimCut},
-    hold::TokenHold,
+    book::{
+        AllowanceBalance, AllowanceBatch, AllowanceLedger, ClaimCut, TokenLoss,
+    },
+    hold::{TokenCharge, TokenHold},
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     lenders::LenderMemory,
     pace::{ServingState, SyncPace},
--- a/src/allowance/own_use.rs
+++ b/src/allowance/own_use.rs
@@ -119,6 +119,7 @@
             lent: self.baseline.lent + net_lent,
             lost: self.baseline.unspent() + self.baseline.lost,
             wanted,
+            reserved: self.reserved,
         }
     }
 
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -32,6 +32,10 @@
         /// Tokens that requests wait for and that are not free.
         #[serde(rename = "w", default)]
         pub wanted: u64,
+        /// Tokens reserved for the requests in progress, the most that these
+        /// may use.
+        #[serde(rename = "r", default)]
+        pub reserved: u64,
     }
 }
 
@@ -44,10 +48,12 @@
     }
 
     /// Returns the record as it counts once its incarnation has ended: what
-    /// it had left is lost, and nobody waits for tokens.
+    /// it had left is lost, and no request is in progress or waits for
+    /// tokens.
     pub fn after_end(mut self) -> AllowanceRecord {
         self.lost += self.unspent();
         self.wanted = 0;
+        self.reserved = 0;
         self
     }
 
--- a/src/allowance/sync.rs
+++ b/src/allowance/sync.rs
@@ -187,6 +187,7 @@
         let prepaid = self.prepaid.borrow();
         self.ledger.borrow_mut().finish_load(&prepaid, true);
         self.append_state.borrow_mut().is_fenced = true;
+        self.log_losses();
         Ok(())
     }
 
@@ -348,6 +349,21 @@
         !cuts.is_empty()
     }
 
+    /// Logs what an earlier incarnation of this VM had left.
+    fn log_losses(&self) {
+        let losses = self.ledger.borrow_mut().take_losses();
+        for loss in &losses {
+            let lost = self.lost_tokens.get();
+            self.lost_tokens.set(lost.saturating_add(loss.tokens));
+            log::info!(
+                event:% = LogEvent::TokensLost,
+                account = loss.account.as_str(),
+                tokens = loss.tokens, reserved = loss.reserved;
+                "an earlier process on this VM ended with tokens in hand"
+            );
+        }
+    }
+
     /// Gives back all tokens that no request needs, waiting up to `time`.
     ///
     /// Returns `false` if the records could not be appended in time.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -99,6 +99,7 @@
             }
         };
         self.progress.reserved_after.set(self.request.arrived_at.elapsed());
+        self.progress.charge.replace(hold.charge().clone());
         loop {
             let slot = match self.acquire_slot().await {
                 Ok(slot) => slot,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -86,6 +86,7 @@
         core.metrics.store_era.set(era as i64);
         core.keeper.note_era(era);
         core.metrics.claims_cut.inc_by(core.keeper.take_cuts());
+        core.metrics.lost_tokens.inc_by(core.keeper.take_lost_tokens());
         let serving = core.serving_state();
         core.keeper.set_serving(serving);
         let is_busy = core.in_progress.get() > 0 || serving.is_listed;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use super::{CallRequest, GatewayCore, dispatch::CallDispatch};
 use crate::{
     adapters::http::{HttpResponder, RequestReader},
+    allowance::TokenCharge,
     catalog::CallKind,
     error::{CallError, ErrorKind},
     telemetry::LogEvent,
@@ -39,6 +40,8 @@
     pub(super) events: Cell<u64>,
     /// The upstream of the last attempt.
     pub(super) upstream: RefCell<String>,
+    /// What the request is charged.
+    pub(super) charge: RefCell<TokenCharge>,
     /// Time until the tokens were reserved.
     pub(super) reserved_after: Cell<Duration>,
     /// Age of the declarations on arrival of the request.
@@ -119,6 +122,11 @@
 ) -> bool {
     let account = request.account_name();
     let took = request.arrived_at.elapsed();
+    let charge = progress.charge.borrow().clone();
+    core.metrics.note_tokens(account, charge.used());
+    if !matches!(end, CallEnd::Answered(_)) {
+        core.metrics.note_unanswered_tokens(account, charge.used());
+    }
     let (outcome, keep_alive) = match end {
         CallEnd::Answered(status) => {
             let kind = request.route.kind.name();
@@ -165,6 +173,8 @@
         answered_ms = progress.answered_after.get().as_millis() as u64,
         took_ms = took.as_millis() as u64,
         limit_ms = request.route.timeout.as_millis() as u64,
+        reserved_tokens = charge.reserved(),
+        charged_tokens = charge.used(),
         outcome = outcome.as_str();
         "request ended"
     );
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -79,7 +79,8 @@
     RequestEnded = "request_ended" [
         "request_id", "account", "route", "catalog", "catalog_age_ms",
         "upstream", "sends", "events", "tokens_ms", "list_age_ms", "sent_ms",
-        "answered_ms", "took_ms", "limit_ms", "outcome",
+        "answered_ms", "took_ms", "limit_ms", "reserved_tokens",
+        "charged_tokens", "outcome",
     ];
     /// An upstream did not serve a request.
     AttemptFailed = "attempt_failed" ["request_id", "upstream"];
@@ -154,6 +155,9 @@
     TokensLent = "tokens_lent" ["account", "tokens", "peer"];
     /// A peer took back a loan whose answer it had missed.
     LoanReturned = "loan_returned" ["account", "tokens", "peer"];
+    /// An earlier process on this VM ended with tokens that it had not spent
+    /// by its last record.
+    TokensLost = "tokens_lost" ["account", "tokens", "reserved"];
     /// The bill of a dead router was settled.
     BillRecovered = "bill_recovered" ["request_id", "account", "tokens"];
     /// A claim on tokens was not granted in full: others came first.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -30,6 +30,7 @@
     duration: HistogramVec,
     answers: IntCounterVec,
     tokens: IntCounterVec,
+    unanswered_tokens: IntCounterVec,
     events: IntCounterVec,
     /// Bytes held in memory for slow readers.
     pub held_bytes: IntGauge,
@@ -51,6 +52,8 @@
     pub entry_vms: IntGauge,
     /// Claims on tokens that were not granted in full.
     pub claims_cut: IntCounter,
+    /// Tokens that earlier processes on this VM had in hand when they ended.
+    pub lost_tokens: IntCounter,
     /// Prompt parts in quarantine.
     pub quarantined_parts: IntGauge,
     /// Upstreams that name a limit of requests per second.
@@ -111,6 +114,11 @@
                 "Tokens billed by client account.",
                 &["account"],
             ),
+            unanswered_tokens: counter(
+                "magnolia_unanswered_tokens_total",
+                "Tokens billed for requests that were not answered in full.",
+                &["account"],
+            ),
             events: counter(
                 "magnolia_events_total",
                 "Internal events by name.",
@@ -150,6 +158,11 @@
                 "Claims on tokens that were not granted in full.",
             )
             .expect("valid counter"),
+            lost_tokens: IntCounter::new(
+                "magnolia_lost_tokens_total",
+                "Tokens that earlier processes on this VM ended with.",
+            )
+            .expect("valid counter"),
             quarantined_parts: gauge(
                 "magnolia_quarantined_parts",
                 "Prompt parts whose requests are rejected.",
@@ -193,6 +206,8 @@
             Box::new(self.upstreams_doubted.clone()),
             Box::new(self.list_read_at.clone()),
             Box::new(self.claims_cut.clone()),
+            Box::new(self.lost_tokens.clone()),
+            Box::new(self.unanswered_tokens.clone()),
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.store_era.clone()),
@@ -250,6 +265,12 @@
         self.tokens.with_label_values(&labels).inc_by(tokens);
     }
 
+    /// Counts tokens billed for a request that was not answered in full.
+    pub fn note_unanswered_tokens(&self, account: &str, tokens: u64) {
+        let labels = [self.label(account)];
+        self.unanswered_tokens.with_label_values(&labels).inc_by(tokens);
+    }
+
     /// Counts an internal event from a fixed set of names.
     pub fn note_event(&self, event: &'static str) {
         self.events.with_label_values(&[event]).inc();
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -9,7 +9,7 @@
     magnoliahaven::{
         allowance::{
             AllowanceBatch, AllowanceLedger, AllowanceRecord, LenderMemory,
-            allowance_key,
+            TokenLoss, allowance_key,
         },
         domain::HolderId,
         ports::{AccountAllowance, KeyedRecord, LendRequest},
@@ -539,6 +539,25 @@
     assert_eq!(next.ledger.balance(ACCOUNT, 1_000).lost, claimed);
 }
 
+#[test]
+fn a_loss_tells_how_much_of_it_was_reserved_for_requests() {
+    let now = Instant::now();
+    let mut topic = Topic::default();
+    let mut router = Router::new(1, 1);
+    router.ledger.add_waiting(ACCOUNT, 400, now);
+    sync(&mut router, &mut topic, 1_000, now);
+    router.ledger.remove_waiting(ACCOUNT, 400);
+    assert!(router.ledger.reserve(ACCOUNT, 300, now));
+    sync(&mut router, &mut topic, 1_000, now);
+    let claimed = 1_000 - router.ledger.balance(ACCOUNT, 1_000).free;
+    let mut next = Router::new(1, 2);
+    next.read(&mut topic, 1_000, now);
+    next.reload(&topic, 1_000, now);
+    let account = ACCOUNT.to_owned();
+    let loss = TokenLoss { account, tokens: claimed, reserved: 300 };
+    assert_eq!(next.ledger.take_losses(), [loss]);
+}
+
 /// All VMs have lost power. The new process of one serves another account
 /// only: what its predecessor held and wanted counts no longer, so that
 /// nobody waits for it.
