Tokens of a request are passed with its priority

No decision changes: the priority of the route goes along with the tokens that a request needs, for the order in which an account serves its requests near its end.

--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    AllowanceRecord,
+    AllowanceRecord, TokenNeed,
     loans::LentLoans,
     own_use::{AccountTotals, AccountUsage, RecordWriter},
     record::split_key,
@@ -538,12 +538,13 @@
     pub fn reserve(
         &mut self,
         account: &str,
-        tokens: u64,
+        need: TokenNeed,
         now: Instant,
     ) -> bool {
-        let is_reserved = self.reserve_waiting(account, tokens, now);
+        let is_reserved = self.reserve_waiting(account, need.tokens(), now);
         if is_reserved {
-            self.usage_mut(account, now).demand.record(tokens, now);
+            let usage = self.usage_mut(account, now);
+            usage.demand.record(need.tokens(), now);
         }
         is_reserved
     }
@@ -573,12 +574,17 @@
         usage.spent += used.min(tokens);
     }
 
-    /// Adds tokens that a request waits for. They count as demand whether or
+    /// Adds the tokens that a request waits for. They count as demand whether or
     /// not the request gets them.
-    pub fn add_waiting(&mut self, account: &str, tokens: u64, now: Instant) {
+    pub fn add_waiting(
+        &mut self,
+        account: &str,
+        need: TokenNeed,
+        now: Instant,
+    ) {
         let usage = self.usage_mut(account, now);
-        usage.waiting.push(tokens);
-        usage.demand.record(tokens, now);
+        usage.waiting.push(need.tokens());
+        usage.demand.record(need.tokens(), now);
     }
 
     /// Removes tokens added by [`AllowanceLedger::add_waiting`] from the
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -12,7 +12,8 @@
 
 use super::{
     AllowanceBalance, AllowanceLedger, AllowanceRecord, LenderMemory,
-    ServingState, TokenHold, lending::PendingLoan, sync::AppendState,
+    ServingState, TokenHold, TokenNeed, lending::PendingLoan,
+    sync::AppendState,
 };
 use crate::{
     catalog::AccountSpec,
@@ -241,13 +242,13 @@
     ///
     /// # Errors
     ///
-    /// `BudgetExhausted` if the account certainly cannot cover `tokens`,
+    /// `BudgetExhausted` if the account certainly cannot cover `need`,
     /// `BudgetUnavailable` if no tokens arrived within `wait`, or if waiting
     /// cannot help.
     pub async fn reserve(
         self: &Rc<Self>,
         account: &str,
-        tokens: u64,
+        need: TokenNeed,
         wait: Duration,
     ) -> Result<TokenHold, CallError> {
         let prepaid = self.prepaid.borrow().get(account).copied();
@@ -255,12 +256,13 @@
             return Ok(TokenHold::uncharged());
         };
         self.last_needed.set(Some(Instant::now()));
-        if let Some(hold) = self.try_reserve(account, tokens) {
+        if let Some(hold) = self.try_reserve(account, need) {
             return Ok(hold);
         }
+        let tokens = need.tokens();
         self.check_covers(account, prepaid, tokens)?;
         let now = Instant::now();
-        self.ledger.borrow_mut().add_waiting(account, tokens, now);
+        self.ledger.borrow_mut().add_waiting(account, need, now);
         let waiting = WaitingDemand { keeper: self, account, tokens };
         let wait = wait.min(self.options.reserve_timeout);
         let deadline = now + wait;
@@ -306,11 +308,11 @@
     fn try_reserve(
         self: &Rc<Self>,
         account: &str,
-        tokens: u64,
+        need: TokenNeed,
     ) -> Option<TokenHold> {
         let now = Instant::now();
-        let reserved = self.ledger.borrow_mut().reserve(account, tokens, now);
-        reserved.then(|| TokenHold::new(self.clone(), account, tokens))
+        let reserved = self.ledger.borrow_mut().reserve(account, need, now);
+        reserved.then(|| TokenHold::new(self.clone(), account, need.tokens()))
     }
 
     fn try_reserve_waiting(
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -35,6 +35,7 @@
 mod loans;
 mod own_use;
 mod pace;
+mod ranking;
 mod record;
 mod stored;
 mod sync;
@@ -47,5 +48,6 @@
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     lenders::LenderMemory,
     pace::{ServingState, SyncPace},
+    ranking::TokenNeed,
     record::{AllowanceRecord, allowance_key},
 };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     adapters::http::HttpResponder,
-    allowance::TokenHold,
+    allowance::{TokenHold, TokenNeed},
     error::{CallError, ErrorKind},
     ports::{ForwardVerdict, UpstreamFault},
     routing::{AssignedUpstream, UpstreamSlot},
@@ -127,7 +127,11 @@
         }
         let account = request.account_name();
         let wait = self.max_wait();
-        self.core.keeper.reserve(account, tokens, wait).await
+        // The priority of the account ranks it among others; among its own
+        // requests that of the route counts.
+        let need = TokenNeed::new(tokens);
+        let need = need.with_priority(request.route.priority);
+        self.core.keeper.reserve(account, need, wait).await
     }
 
     /// Returns the maximum wait for a slot or for tokens.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -9,7 +9,7 @@
     magnoliahaven::{
         allowance::{
             AllowanceBatch, AllowanceLedger, AllowanceRecord, LenderMemory,
-            TokenLoss, allowance_key,
+            TokenLoss, TokenNeed, allowance_key,
         },
         domain::HolderId,
         ports::{AccountAllowance, KeyedRecord, LendRequest},
@@ -359,11 +359,16 @@
             }
             Step::Reserve { router, tokens } => {
                 let router = &mut routers[router];
-                if router.ledger.reserve(ACCOUNT, tokens, now) {
+                if router.ledger.reserve(ACCOUNT, TokenNeed::new(tokens), now)
+                {
                     router.reserved.push(tokens);
                     actual.in_flight += tokens;
                 } else {
-                    router.ledger.add_waiting(ACCOUNT, tokens, now);
+                    router.ledger.add_waiting(
+                        ACCOUNT,
+                        TokenNeed::new(tokens),
+                        now,
+                    );
                 }
             }
             Step::Settle { router, percent } => {
@@ -483,22 +488,22 @@
     let mut topic = Topic::default();
     let (mut first, mut second) = (Router::new(1, 1), Router::new(2, 1));
     // The first router has used tokens and keeps a buffer of them.
-    first.ledger.add_waiting(ACCOUNT, 100, now);
+    first.ledger.add_waiting(ACCOUNT, TokenNeed::new(100), now);
     sync(&mut first, &mut topic, 1_000, now);
     first.ledger.remove_waiting(ACCOUNT, 100);
-    assert!(first.ledger.reserve(ACCOUNT, 100, now));
+    assert!(first.ledger.reserve(ACCOUNT, TokenNeed::new(100), now));
     first.ledger.settle(ACCOUNT, 100, 100);
     sync(&mut first, &mut topic, 1_000, now);
     let kept = first.ledger.balance(ACCOUNT, 1_000).available;
     assert!(kept > 0, "the first router keeps no buffer");
     // The second router needs all that is left.
-    second.ledger.add_waiting(ACCOUNT, 900, now);
+    second.ledger.add_waiting(ACCOUNT, TokenNeed::new(900), now);
     for _ in 0..2 {
         sync(&mut second, &mut topic, 1_000, now);
         sync(&mut first, &mut topic, 1_000, now);
     }
     sync(&mut second, &mut topic, 1_000, now);
-    assert!(second.ledger.reserve(ACCOUNT, 900, now));
+    assert!(second.ledger.reserve(ACCOUNT, TokenNeed::new(900), now));
 }
 
 #[test]
@@ -506,16 +511,16 @@
     let now = Instant::now();
     let mut topic = Topic::default();
     let mut router = Router::new(1, 1);
-    router.ledger.add_waiting(ACCOUNT, 500, now);
+    router.ledger.add_waiting(ACCOUNT, TokenNeed::new(500), now);
     sync(&mut router, &mut topic, 1_000, now);
     router.ledger.remove_waiting(ACCOUNT, 500);
     // The release has been sent and not been answered.
     let release = router.ledger.release_batch();
-    assert!(!router.ledger.reserve(ACCOUNT, 500, now));
+    assert!(!router.ledger.reserve(ACCOUNT, TokenNeed::new(500), now));
     // It is applied late; another router may claim the tokens from then on.
     assert!(topic.append(&router.append(release)));
     router.read(&mut topic, 1_000, now);
-    assert!(!router.ledger.reserve(ACCOUNT, 500, now));
+    assert!(!router.ledger.reserve(ACCOUNT, TokenNeed::new(500), now));
 }
 
 #[test]
@@ -523,15 +528,15 @@
     let now = Instant::now();
     let mut topic = Topic::default();
     let mut router = Router::new(1, 1);
-    router.ledger.add_waiting(ACCOUNT, 400, now);
+    router.ledger.add_waiting(ACCOUNT, TokenNeed::new(400), now);
     sync(&mut router, &mut topic, 1_000, now);
-    assert!(router.ledger.reserve(ACCOUNT, 400, now));
+    assert!(router.ledger.reserve(ACCOUNT, TokenNeed::new(400), now));
     let claimed = 1_000 - router.ledger.balance(ACCOUNT, 1_000).free;
     assert!(claimed >= 400);
     let mut next = Router::new(1, 2);
-    next.ledger.add_waiting(ACCOUNT, 700, now);
+    next.ledger.add_waiting(ACCOUNT, TokenNeed::new(700), now);
     sync(&mut next, &mut topic, 1_000, now);
-    assert!(!next.ledger.reserve(ACCOUNT, 700, now));
+    assert!(!next.ledger.reserve(ACCOUNT, TokenNeed::new(700), now));
     // The dead router may not have spent its tokens, so the account is not
     // exhausted. Still, no router can serve the request any more.
     assert!(!next.ledger.is_exhausted(ACCOUNT, 1_000, 700));
@@ -544,10 +549,10 @@
     let now = Instant::now();
     let mut topic = Topic::default();
     let mut router = Router::new(1, 1);
-    router.ledger.add_waiting(ACCOUNT, 400, now);
+    router.ledger.add_waiting(ACCOUNT, TokenNeed::new(400), now);
     sync(&mut router, &mut topic, 1_000, now);
     router.ledger.remove_waiting(ACCOUNT, 400);
-    assert!(router.ledger.reserve(ACCOUNT, 300, now));
+    assert!(router.ledger.reserve(ACCOUNT, TokenNeed::new(300), now));
     sync(&mut router, &mut topic, 1_000, now);
     let claimed = 1_000 - router.ledger.balance(ACCOUNT, 1_000).free;
     let mut next = Router::new(1, 2);
@@ -569,7 +574,7 @@
         BTreeMap::from([(ACCOUNT.to_owned(), 1_000), (OTHER.to_owned(), 500)]);
     let mut topic = Topic::default();
     let mut dead = Router::new(1, 1);
-    dead.ledger.add_waiting(ACCOUNT, 900, now);
+    dead.ledger.add_waiting(ACCOUNT, TokenNeed::new(900), now);
     sync(&mut dead, &mut topic, 1_000, now);
     let mut reader = Router::new(2, 1);
     reader.read(&mut topic, 1_000, now);
@@ -578,7 +583,7 @@
 
     let mut next = Router::new(1, 2);
     next.read(&mut topic, 1_000, now);
-    next.ledger.add_waiting(OTHER, 100, now);
+    next.ledger.add_waiting(OTHER, TokenNeed::new(100), now);
     let batch = next.ledger.next_batch(&totals, 2, now);
     assert!(topic.append(&next.append(batch)));
     reader.read(&mut topic, 1_000, now);
@@ -593,10 +598,10 @@
     let now = Instant::now();
     let mut topic = Topic::default();
     let (mut first, mut second) = (Router::new(1, 1), Router::new(2, 1));
-    first.ledger.add_waiting(ACCOUNT, 1_000, now);
+    first.ledger.add_waiting(ACCOUNT, TokenNeed::new(1_000), now);
     sync(&mut first, &mut topic, 1_000, now);
     first.ledger.remove_waiting(ACCOUNT, 1_000);
-    assert!(first.ledger.reserve(ACCOUNT, 1_000, now));
+    assert!(first.ledger.reserve(ACCOUNT, TokenNeed::new(1_000), now));
     first.ledger.settle(ACCOUNT, 1_000, 990);
     sync(&mut first, &mut topic, 1_000, now);
     second.read(&mut topic, 1_000, now);
@@ -612,16 +617,16 @@
     let mut topic = Topic::default();
     let (mut fast, mut slow) = (Router::new(1, 1), Router::new(2, 1));
     slow.read(&mut topic, 10_000, now);
-    slow.ledger.add_waiting(ACCOUNT, 500, now);
+    slow.ledger.add_waiting(ACCOUNT, TokenNeed::new(500), now);
     let batch = slow.ledger.next_batch(&prepaid(10_000), 2, now);
     for _ in 0..5 {
-        fast.ledger.add_waiting(ACCOUNT, 100, now);
+        fast.ledger.add_waiting(ACCOUNT, TokenNeed::new(100), now);
         sync(&mut fast, &mut topic, 10_000, now);
     }
     assert!(topic.append(&slow.append(batch)));
     sync(&mut fast, &mut topic, 10_000, now);
     slow.read(&mut topic, 10_000, now);
-    assert!(slow.ledger.reserve(ACCOUNT, 500, now));
+    assert!(slow.ledger.reserve(ACCOUNT, TokenNeed::new(500), now));
 }
 
 /// A router that was cut off from the topic refuses 100 requests each second.
@@ -638,13 +643,13 @@
     let mut now = start;
     for number in 0..500 {
         now = start + Duration::from_millis(10 * number);
-        assert!(!router.ledger.reserve(ACCOUNT, TOKENS, now));
-        router.ledger.add_waiting(ACCOUNT, TOKENS, now);
+        assert!(!router.ledger.reserve(ACCOUNT, TokenNeed::new(TOKENS), now));
+        router.ledger.add_waiting(ACCOUNT, TokenNeed::new(TOKENS), now);
         router.ledger.remove_waiting(ACCOUNT, TOKENS);
     }
     sync(&mut router, &mut topic, TOTAL, now);
     let mut served = 0;
-    while router.ledger.reserve(ACCOUNT, TOKENS, now) {
+    while router.ledger.reserve(ACCOUNT, TokenNeed::new(TOKENS), now) {
         served += 1;
     }
     assert!(served >= 400, "{served} requests, 100 come each second");
@@ -661,7 +666,7 @@
     for router in [&mut first, &mut second] {
         router.read(&mut topic, 1_000, now);
         for _ in 0..7 {
-            router.ledger.add_waiting(ACCOUNT, 100, now);
+            router.ledger.add_waiting(ACCOUNT, TokenNeed::new(100), now);
         }
         let batch = router.ledger.next_batch(&prepaid(1_000), 2, now);
         appends.push(router.append(batch));
@@ -692,7 +697,7 @@
     let now = Instant::now();
     let mut topic = Topic::default();
     let (mut lender, borrower) = (Router::new(1, 1), Router::new(2, 1));
-    lender.ledger.add_waiting(ACCOUNT, 600, now);
+    lender.ledger.add_waiting(ACCOUNT, TokenNeed::new(600), now);
     sync(&mut lender, &mut topic, 1_000, now);
     lender.ledger.remove_waiting(ACCOUNT, 600);
     let (first, second) = (loan(&borrower, 200, 1), loan(&borrower, 200, 2));
@@ -702,7 +707,7 @@
     assert_eq!(lender.ledger.cancel_loan(&first), 200);
     assert_eq!(lender.ledger.cancel_loan(&second), 0);
     assert_eq!(lender.ledger.lend(&second), 0);
-    assert!(lender.ledger.reserve(ACCOUNT, 600, now));
+    assert!(lender.ledger.reserve(ACCOUNT, TokenNeed::new(600), now));
 }
 
 /// Covers an outage of the store of 8 s at a steady draw.
@@ -726,10 +731,10 @@
     let (mut old, mut router) = (Router::new(1, 1), Router::new(2, 1));
     // Another router has used the rest of the account before.
     let used = TOTAL - left;
-    old.ledger.add_waiting(ACCOUNT, used, start);
+    old.ledger.add_waiting(ACCOUNT, TokenNeed::new(used), start);
     sync(&mut old, &mut topic, TOTAL, start);
     old.ledger.remove_waiting(ACCOUNT, used);
-    assert!(old.ledger.reserve(ACCOUNT, used, start));
+    assert!(old.ledger.reserve(ACCOUNT, TokenNeed::new(used), start));
     old.ledger.settle(ACCOUNT, used, used);
     sync(&mut old, &mut topic, TOTAL, start);
     let batch = old.ledger.release_batch();
@@ -737,18 +742,18 @@
     let mut now = start;
     for second in 0..20 {
         now = start + Duration::from_secs(second);
-        if !router.ledger.reserve(ACCOUNT, DRAW, now) {
-            router.ledger.add_waiting(ACCOUNT, DRAW, now);
+        if !router.ledger.reserve(ACCOUNT, TokenNeed::new(DRAW), now) {
+            router.ledger.add_waiting(ACCOUNT, TokenNeed::new(DRAW), now);
             sync(&mut router, &mut topic, TOTAL, now);
             router.ledger.remove_waiting(ACCOUNT, DRAW);
-            assert!(router.ledger.reserve(ACCOUNT, DRAW, now));
+            assert!(router.ledger.reserve(ACCOUNT, TokenNeed::new(DRAW), now));
         }
         router.ledger.settle(ACCOUNT, DRAW, DRAW);
         sync(&mut router, &mut topic, TOTAL, now);
     }
     let kept = router.ledger.balance(ACCOUNT, TOTAL).available;
     let mut seconds = 0;
-    while router.ledger.reserve(ACCOUNT, DRAW, now) {
+    while router.ledger.reserve(ACCOUNT, TokenNeed::new(DRAW), now) {
         seconds += 1;
     }
     assert!(seconds >= least_seconds, "{seconds} s of the outage served");
@@ -807,7 +812,7 @@
         now = start + Duration::from_millis(10 * step as u64);
         let router = &mut routers[step % ROUTERS];
         let tokens = sizes[(step / ROUTERS) % sizes.len()];
-        router.ledger.add_waiting(ACCOUNT, tokens, now);
+        router.ledger.add_waiting(ACCOUNT, TokenNeed::new(tokens), now);
         sync(router, &mut topic, TOTAL, now);
         router.ledger.remove_waiting(ACCOUNT, tokens);
         if router.ledger.reserve_waiting(ACCOUNT, tokens, now) {
@@ -827,11 +832,16 @@
         now += Duration::from_millis(10);
         let index = step * 7 % ROUTERS;
         let tokens = sizes[step % sizes.len()];
-        if !routers[index].ledger.reserve(ACCOUNT, tokens, now) {
+        if !routers[index].ledger.reserve(ACCOUNT, TokenNeed::new(tokens), now)
+        {
             let memory = &mut memories[index];
             let number = &mut loan_number;
             borrow(&mut routers, memory, index, tokens, number, now);
-            if !routers[index].ledger.reserve(ACCOUNT, tokens, now) {
+            if !routers[index].ledger.reserve(
+                ACCOUNT,
+                TokenNeed::new(tokens),
+                now,
+            ) {
                 refused += 1;
                 let has_more = |router: &Router| {
                     let balance = router.ledger.balance(ACCOUNT, TOTAL);
