--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -1,7 +1,7 @@
 //! Prepaid tokens under lost, delayed and concurrent appends and restarts.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -856,3 +856,143 @@
     }
     assert!(refused > 0, "the pieces last longer than the outage");
 }
+
+/// Kinds of requests: how many come in 10 s, how many tokens they need and
+/// use, and their priority.
+const REQUEST_KINDS: [(u64, u64, u64, u8); 3] =
+    [(287, 12_400, 12_000, 1), (464, 1_120, 970, 0), (426, 2_400, 2_390, 2)];
+
+/// A request in progress.
+struct OpenRequest {
+    router: usize,
+    need: TokenNeed,
+    used: u64,
+}
+
+/// Routers that serve requests which last for a second each.
+struct LoadedFleet {
+    routers: Vec<Router>,
+    topic: Topic,
+    total: u64,
+    open: VecDeque<OpenRequest>,
+    came: u64,
+    served: u64,
+    spent: u64,
+    now: Instant,
+}
+
+impl LoadedFleet {
+    const STEPS_PER_SECOND: u64 = 50;
+    /// Steps between two synchronizations of all routers.
+    const STEPS_PER_SYNC: u64 = 35;
+
+    fn new(routers: usize, total: u64) -> LoadedFleet {
+        LoadedFleet {
+            routers: (0..routers).map(|n| Router::new(n, 1)).collect(),
+            topic: Topic::default(),
+            total,
+            open: VecDeque::new(),
+            came: 0,
+            served: 0,
+            spent: 0,
+            now: Instant::now(),
+        }
+    }
+
+    /// Serves requests for some seconds; returns how many came and how many
+    /// were served.
+    fn run(&mut self, seconds: u64) -> (u64, u64) {
+        (self.came, self.served) = (0, 0);
+        for _ in 0..seconds {
+            let mut ending = std::mem::take(&mut self.open);
+            for step in 0..Self::STEPS_PER_SECOND {
+                let steps_left = Self::STEPS_PER_SECOND - step;
+                let ended = ending.len() / steps_left as usize;
+                for request in ending.drain(..ended) {
+                    self.end(&request);
+                }
+                self.take_arrivals(step);
+                self.now += Duration::from_secs(1) / 50;
+                if step % Self::STEPS_PER_SYNC == 0 {
+                    self.sync_all();
+                }
+            }
+        }
+        (self.came, self.served)
+    }
+
+    fn end(&mut self, request: &OpenRequest) {
+        let ledger = &mut self.routers[request.router].ledger;
+        ledger.settle(ACCOUNT, request.need.tokens(), request.used);
+        self.spent += request.used;
+    }
+
+    fn sync_all(&mut self) {
+        for router in &mut self.routers {
+            sync(router, &mut self.topic, self.total, self.now);
+        }
+    }
+
+    fn take_arrivals(&mut self, step: u64) {
+        for (rate, tokens, used, priority) in REQUEST_KINDS {
+            let arrived =
+                |steps: u64| rate * steps / Self::STEPS_PER_SECOND / 10;
+            for _ in arrived(step)..arrived(step + 1) {
+                self.came += 1;
+                let router = self.came as usize % self.routers.len();
+                let need = TokenNeed::new(tokens).with_priority(priority);
+                if self.reserve(router, need) {
+                    self.served += 1;
+                    self.open.push_back(OpenRequest { router, need, used });
+                }
+            }
+        }
+    }
+
+    /// Reserves tokens for a request, after a claim if that is needed.
+    fn reserve(&mut self, router: usize, need: TokenNeed) -> bool {
+        let (total, now) = (self.total, self.now);
+        let router = &mut self.routers[router];
+        if router.ledger.reserve(ACCOUNT, need, now) {
+            return true;
+        }
+        router.ledger.add_waiting(ACCOUNT, need, now);
+        sync(router, &mut self.topic, total, now);
+        router.ledger.remove_waiting(ACCOUNT, need.tokens());
+        router.ledger.reserve_waiting(ACCOUNT, need.tokens(), now)
+    }
+
+    /// All VMs lose power and start again. The requests in progress have used
+    /// what they can.
+    fn lose_power(&mut self) {
+        for request in self.open.drain(..) {
+            self.spent += request.used;
+        }
+        for (number, router) in self.routers.iter_mut().enumerate() {
+            let mut fresh = Router::new(number, 2);
+            fresh.epoch = router.epoch + 1;
+            *router = fresh;
+        }
+    }
+}
+
+/// RECOVER: all VMs lost power, tokens were lost with them, and 12 s later
+/// fewer than a quarter of the requests were served.
+#[test]
+fn a_quarter_is_served_12_s_after_a_loss_of_power_that_took_tokens() {
+    const TOTAL: u64 = 18_000_000;
+    let mut fleet = LoadedFleet::new(8, TOTAL);
+    let (came, served) = fleet.run(27);
+    assert_eq!(came, served, "the account lasts until the power goes");
+    fleet.lose_power();
+    fleet.run(12);
+    let (came, served) = fleet.run(3);
+    let lost = fleet.routers[0].ledger.balance(ACCOUNT, TOTAL).lost;
+    let in_progress = fleet.open.iter().map(|request| request.used);
+    let spent = fleet.spent + in_progress.sum::<u64>();
+    assert!(spent <= TOTAL, "{spent} tokens spent of {TOTAL}");
+    assert!(
+        served * 4 >= came,
+        "{served} of {came} requests served, {lost} tokens were lost"
+    );
+}
