--- a/src/allowance/book.rs
+++ b/src/allowance/book.rs
@@ -48,6 +48,17 @@
     pub available: u64,
 }
 
+/// What the records of all VMs say of an account.
+#[derive(Clone, Copy, Debug)]
+struct AccountSummary {
+    /// Tokens that VMs have taken.
+    taken: u64,
+    /// Tokens that were lost with VMs.
+    lost: u64,
+    /// Tokens that other VMs hold and no request has reserved.
+    lendable: u64,
+}
+
 /// Records to append in one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AllowanceBatch {
@@ -74,7 +85,7 @@
     pub account: String,
     /// Tokens that are lost.
     pub tokens: u64,
-    /// Those of them that were reserved for requests in progress when the
+    /// Those of them that were for requests in progress or waiting when the
     /// last record was written.
     pub reserved: u64,
 }
@@ -105,6 +116,8 @@
     told: BTreeMap<(String, String), AllowanceRecord>,
     usage: BTreeMap<String, AccountUsage>,
     loans: LentLoans,
+    /// By account; dropped when a record changes.
+    summaries: BTreeMap<String, AccountSummary>,
     /// This VM's records that have not been read back yet.
     unconfirmed: AllowanceBatch,
     cuts: Vec<ClaimCut>,
@@ -132,6 +145,7 @@
             told: BTreeMap::new(),
             usage: BTreeMap::new(),
             loans: LentLoans::default(),
+            summaries: BTreeMap::new(),
             unconfirmed: AllowanceBatch::default(),
             cuts: Vec::new(),
             losses: Vec::new(),
@@ -174,6 +188,7 @@
     }
 
     fn apply_told(&mut self, account: &str, vm: &str, told: AllowanceRecord) {
+        self.summaries.clear();
         let era = self.cursor.era;
         if told.era >= era || told.incarnation == self.incarnation {
             return;
@@ -322,6 +337,7 @@
         if known.is_some_and(|known| known.position >= position) {
             return None;
         }
+        self.summaries.clear();
         let stored = StoredRecord::new(record, position);
         let stored = known.map_or(stored, |known| known.merge(stored));
         let all = self.records.entry(account.to_owned()).or_default();
@@ -533,6 +549,48 @@
         prepaid.saturating_sub(spent_or_lost) < tokens
     }
 
+    /// Whether what is left of an account is kept for requests that rank
+    /// before this one.
+    ///
+    /// Tokens are kept only in place of those that were lost with VMs: what
+    /// no VM has lost is served in the order of arrival.
+    pub fn is_kept_back(
+        &mut self,
+        account: &str,
+        prepaid: u64,
+        need: TokenNeed,
+        now: Instant,
+    ) -> bool {
+        let summary = self.summary(account);
+        if summary.lost == 0 {
+            return false;
+        }
+        let usage = self.usage_mut(account, now);
+        let expected = usage.expected_before(need, prepaid, now);
+        let kept = expected.min(summary.lost);
+        let left = prepaid
+            .saturating_sub(summary.taken)
+            .saturating_add(summary.lendable)
+            .saturating_add(usage.available());
+        kept > 0 && left < need.tokens().saturating_add(kept)
+    }
+
+    fn summary(&mut self, account: &str) -> AccountSummary {
+        if let Some(known) = self.summaries.get(account) {
+            return *known;
+        }
+        let others = self.other_records(account);
+        let lendable =
+            others.map(|(_, r)| r.unspent().saturating_sub(r.reserved));
+        let summary = AccountSummary {
+            taken: self.total_taken(account),
+            lost: self.total_lost(account),
+            lendable: saturating_sum(lendable),
+        };
+        self.summaries.insert(account.to_owned(), summary);
+        summary
+    }
+
     /// Reserves tokens for a request; returns `false` if too few are
     /// available.
     pub fn reserve(
@@ -543,8 +601,7 @@
     ) -> bool {
         let is_reserved = self.reserve_waiting(account, need.tokens(), now);
         if is_reserved {
-            let usage = self.usage_mut(account, now);
-            usage.demand.record(need.tokens(), now);
+            self.usage_mut(account, now).demand.record(need, now);
         }
         is_reserved
     }
@@ -584,7 +641,7 @@
     ) {
         let usage = self.usage_mut(account, now);
         usage.waiting.push(need.tokens());
-        usage.demand.record(need.tokens(), now);
+        usage.demand.record(need, now);
     }
 
     /// Removes tokens added by [`AllowanceLedger::add_waiting`] from the
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -256,6 +256,7 @@
             return Ok(TokenHold::uncharged());
         };
         self.last_needed.set(Some(Instant::now()));
+        self.check_rank(account, prepaid, need)?;
         if let Some(hold) = self.try_reserve(account, need) {
             return Ok(hold);
         }
@@ -271,6 +272,7 @@
         self.sync_requested.notify_one();
         loop {
             let changed = self.changed.notified();
+            self.check_rank(account, prepaid, need)?;
             if let Some(hold) = self.try_reserve_waiting(account, tokens) {
                 drop(waiting);
                 return Ok(hold);
@@ -326,6 +328,30 @@
         reserved.then(|| TokenHold::new(self.clone(), account, tokens))
     }
 
+    /// Returns an error if what is left of the account is kept for requests
+    /// that rank before this one.
+    fn check_rank(
+        &self,
+        account: &str,
+        prepaid: u64,
+        need: TokenNeed,
+    ) -> Result<(), CallError> {
+        let now = Instant::now();
+        let mut ledger = self.ledger.borrow_mut();
+        if !ledger.is_kept_back(account, prepaid, need, now) {
+            return Ok(());
+        }
+        let AllowanceBalance { free, held, lost, .. } =
+            ledger.balance(account, prepaid);
+        let message = format!(
+            "{} tokens of {account} are kept for more urgent or smaller \
+             requests: of {prepaid} {free} free, {held} held, {lost} lost",
+            need.tokens()
+        );
+        let error = CallError::new(ErrorKind::BudgetUnavailable, message);
+        Err(error.with_retry_delay(LOST_TOKENS_RETRY_AFTER))
+    }
+
     /// Returns an error if waiting cannot help: the account is exhausted, or
     /// short after losses.
     fn check_covers(
--- a/src/allowance/own_use.rs
+++ b/src/allowance/own_use.rs
@@ -6,8 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::AllowanceRecord;
-use crate::budget::DemandEstimator;
+use super::{AllowanceRecord, TokenNeed, ranking::RankedDemand};
+use crate::{budget::DemandEstimator, domain::saturating_sum};
 
 /// The buffer of all routers together, in percent of an account's prepaid
 /// total, while none of the total has been taken.
@@ -17,6 +17,15 @@
 /// An account with much left can bear such a loss; one near its end cannot.
 const FLEET_BUFFER_PERCENT: u64 = 75;
 
+/// The most tokens that are kept for requests that rank before others, in
+/// percent of an account's prepaid total. The users' promise leaves out
+/// requests that would go beyond the rest of the total.
+const MAX_KEPT_PERCENT: u64 = 3;
+
+/// Time of expected demand for which tokens are kept; a top-up may come by
+/// then.
+const KEPT_TIME: Duration = Duration::from_secs(30);
+
 /// The buffer is refilled as soon as it is below this percentage of its
 /// target.
 const REFILL_PERCENT: u64 = 90;
@@ -60,7 +69,7 @@
     pub(super) borrowed: u64,
     /// Tokens that requests wait for, one entry for each request.
     pub(super) waiting: Vec<u64>,
-    pub(super) demand: DemandEstimator,
+    pub(super) demand: RankedDemand,
     fleet_spent: u64,
     fleet_demand: DemandEstimator,
 }
@@ -75,7 +84,7 @@
             lent: 0,
             borrowed: 0,
             waiting: Vec::new(),
-            demand: DemandEstimator::new(horizon, now),
+            demand: RankedDemand::new(horizon, now),
             fleet_spent: 0,
             fleet_demand: DemandEstimator::new(horizon, now),
         }
@@ -109,6 +118,7 @@
         limit: u64,
         wanted: u64,
     ) -> AllowanceRecord {
+        let waiting = saturating_sum(self.waiting.iter().copied());
         let net_lent = self.lent as i64 - self.borrowed as i64;
         AllowanceRecord {
             incarnation: writer.incarnation,
@@ -119,7 +129,7 @@
             lent: self.baseline.lent + net_lent,
             lost: self.baseline.unspent() + self.baseline.lost,
             wanted,
-            reserved: self.reserved,
+            reserved: self.reserved + waiting,
         }
     }
 
@@ -181,6 +191,28 @@
         (own / fleet).clamp(equal_share, 1.0)
     }
 
+    /// Returns the tokens that the fleet's requests which rank before `need`
+    /// are expected to use, up to a share of the prepaid total.
+    ///
+    /// The requests of this router stand for those of the fleet.
+    pub(super) fn expected_before(
+        &mut self,
+        need: TokenNeed,
+        prepaid: u64,
+        now: Instant,
+    ) -> u64 {
+        let before = self.demand.target_before(need, now);
+        if before == 0 {
+            return 0;
+        }
+        let own = self.demand.target(now).max(1);
+        let fleet = self.fleet_demand.target(now).max(own);
+        let share = before as f64 / own as f64;
+        let time = KEPT_TIME.div_duration_f64(self.demand.horizon());
+        let expected = share * fleet as f64 * time;
+        (expected as u64).min(prepaid / 100 * MAX_KEPT_PERCENT)
+    }
+
     /// Returns how many of `tokens` the waiting requests can use if they are
     /// served in order of size, smallest first.
     fn waiting_within(&self, tokens: u64) -> u64 {
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -32,8 +32,8 @@
         /// Tokens that requests wait for and that are not free.
         #[serde(rename = "w", default)]
         pub wanted: u64,
-        /// Tokens reserved for the requests in progress, the most that these
-        /// may use.
+        /// Tokens for the requests in progress and those that wait, the most
+        /// that these may use.
         #[serde(rename = "r", default)]
         pub reserved: u64,
     }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -953,6 +953,9 @@
     fn reserve(&mut self, router: usize, need: TokenNeed) -> bool {
         let (total, now) = (self.total, self.now);
         let router = &mut self.routers[router];
+        if router.ledger.is_kept_back(ACCOUNT, total, need, now) {
+            return false;
+        }
         if router.ledger.reserve(ACCOUNT, need, now) {
             return true;
         }
