--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -27,6 +27,7 @@
 //! `docs/design/platform.md` compares this design with granting tokens
 //! through a log.
 
+mod balance;
 mod book;
 mod hold;
 mod keeper;
@@ -41,9 +42,8 @@
 mod sync;
 
 pub use self::{
-    book::{
-        AllowanceBalance, AllowanceBatch, AllowanceLedger, ClaimCut, TokenLoss,
-    },
+    balance::AllowanceBalance,
+    book::{AllowanceBatch, AllowanceLedger, ClaimCut, TokenLoss},
     hold::{TokenCharge, TokenHold},
     keeper::{AllowanceKeeper, AllowanceOptions, AllowancePorts},
     lenders::LenderMemory,
