--- a/src/allowance/own_use.rs
+++ b/src/allowance/own_use.rs
@@ -18,8 +18,8 @@
 const FLEET_BUFFER_PERCENT: u64 = 75;
 
 /// The most tokens that are kept for requests that rank before others, in
-/// percent of an account's prepaid total. The users' promise leaves out
-/// requests that would go beyond the rest of the total.
+/// percent of an account's prepaid total. Only the rest of the total is
+/// promised to callers.
 const MAX_KEPT_PERCENT: u64 = 3;
 
 /// Time of expected demand for which tokens are kept; a top-up may come by
