--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -881,8 +881,10 @@
     now: Instant,
 }
 
+/// Steps of a second of load.
+const STEPS_PER_SECOND: u32 = 50;
+
 impl LoadedFleet {
-    const STEPS_PER_SECOND: u64 = 50;
     /// Steps between two synchronizations of all routers.
     const STEPS_PER_SYNC: u64 = 35;
 
@@ -905,14 +907,14 @@
         (self.came, self.served) = (0, 0);
         for _ in 0..seconds {
             let mut ending = std::mem::take(&mut self.open);
-            for step in 0..Self::STEPS_PER_SECOND {
-                let steps_left = Self::STEPS_PER_SECOND - step;
+            for step in 0..u64::from(STEPS_PER_SECOND) {
+                let steps_left = u64::from(STEPS_PER_SECOND) - step;
                 let ended = ending.len() / steps_left as usize;
                 for request in ending.drain(..ended) {
                     self.end(&request);
                 }
                 self.take_arrivals(step);
-                self.now += Duration::from_secs(1) / 50;
+                self.now += Duration::from_secs(1) / STEPS_PER_SECOND;
                 if step % Self::STEPS_PER_SYNC == 0 {
                     self.sync_all();
                 }
@@ -936,7 +938,7 @@
     fn take_arrivals(&mut self, step: u64) {
         for (rate, tokens, used, priority) in REQUEST_KINDS {
             let arrived =
-                |steps: u64| rate * steps / Self::STEPS_PER_SECOND / 10;
+                |steps: u64| rate * steps / u64::from(STEPS_PER_SECOND) / 10;
             for _ in arrived(step)..arrived(step + 1) {
                 self.came += 1;
                 let router = self.came as usize % self.routers.len();
