--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,7 +1,7 @@
 //! The open connections between the machines go silent for good, while new
 //! ones work. Later, requests with a part that crashes workers come.
 
-#[path = "../stands-2/lab.rs"]
+#[path = "../lab-2.rs"]
 mod lab;
 
 use std::{
