--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/magnolia-gateway ] || exit 2
 [ -x target/review-2/case-9 ] || exit 2
+ulimit -n "$(ulimit -Hn)" 2>/dev/null
 export TROUBLE="${TROUBLE:-1}"
 exec target/review-2/case-9 review/9
