--- a/src/adapters/http/accept.rs
+++ b/src/adapters/http/accept.rs
@@ -50,6 +50,7 @@
         HttpFault::TimedOut => ErrorKind::RequestTimeout,
         HttpFault::HeadTooLarge { .. } => ErrorKind::HeadTooLarge,
         HttpFault::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
+        HttpFault::OutOfMemory { .. } => ErrorKind::OutOfMemory,
         HttpFault::Malformed { .. } => ErrorKind::BadRequest,
     };
     Some(CallError::new(kind, fault.to_string()))
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -26,6 +26,7 @@
 };
 
 use super::chunked::{BodyPiece, ChunkedBody};
+use crate::memory::{MemoryLease, MemoryShortage};
 
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -45,6 +46,9 @@
 /// Size in bytes of the buffer of one read.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Bytes of a body from which memory is allocated for the whole of it.
+const RESERVE_BYTES: usize = 64 * 1024;
+
 /// Size of the kernel's send buffer of a connection.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -76,6 +80,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The requests of all callers hold too much memory.
+    #[snafu(display("{source}"))]
+    OutOfMemory {
+        /// What the requests hold.
+        source: MemoryShortage,
+    },
     /// The bytes are not a valid message.
     #[snafu(display("malformed message: {reason}"))]
     Malformed {
@@ -96,6 +106,12 @@
     }
 }
 
+impl From<MemoryShortage> for HttpFault {
+    fn from(source: MemoryShortage) -> HttpFault {
+        HttpFault::OutOfMemory { source }
+    }
+}
+
 impl From<DecodeError> for HttpFault {
     fn from(err: DecodeError) -> HttpFault {
         HttpFault::Malformed { reason: err.to_string() }
@@ -176,6 +192,10 @@
     searched: usize,
     /// Bytes read in this turn.
     turn_bytes: usize,
+    /// The memory of the current request, if there is one.
+    lease: Option<MemoryLease>,
+    /// Bytes of the body of the current request that have left the buffer.
+    pub(super) body_bytes: usize,
 }
 
 /// A TCP connection that carries HTTP/1.1 messages.
@@ -202,12 +222,68 @@
             buffer: BytesMut::new(),
             searched: 0,
             turn_bytes: 0,
+            lease: None,
+            body_bytes: 0,
         };
         HttpConnection { reader, writer }
     }
 }
 
 impl BoundedReader {
+    /// Sets the memory of the request that begins with the bytes in the
+    /// buffer.
+    pub(super) fn begin_lease(
+        &mut self,
+        lease: MemoryLease,
+    ) -> Result<(), HttpFault> {
+        self.lease = Some(lease);
+        self.body_bytes = 0;
+        self.update_lease()
+    }
+
+    /// Records that the current request has been read in full.
+    pub(super) fn finish_lease(&self) -> Result<(), HttpFault> {
+        match &self.lease {
+            Some(lease) => Ok(lease.finish()?),
+            None => Ok(()),
+        }
+    }
+
+    /// Frees the memory of the current request. Bytes of the next one stay
+    /// in the buffer.
+    pub(super) fn end_lease(&mut self) {
+        self.lease = None;
+        self.body_bytes = 0;
+    }
+
+    /// Drops everything that was read.
+    pub(super) fn discard(&mut self) {
+        self.buffer = BytesMut::new();
+        self.searched = 0;
+        self.end_lease();
+    }
+
+    /// Reads and drops bytes until the remote end closes the connection, at
+    /// most `bytes` bytes and until `deadline`.
+    pub(super) async fn drain(&mut self, bytes: usize, deadline: Instant) {
+        let mut drained = 0;
+        while drained < bytes && self.fill(deadline).await.is_ok() {
+            drained += self.buffer.len();
+            self.buffer.clear();
+        }
+    }
+
+    /// Sets the memory of the current request to the bytes that were read of
+    /// it.
+    fn update_lease(&self) -> Result<(), HttpFault> {
+        match &self.lease {
+            Some(lease) => {
+                Ok(lease.grow(self.buffer.len() + self.body_bytes)?)
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Waits for the first byte of the next message.
     ///
     /// # Errors
@@ -243,13 +319,24 @@
                 Ok(0) | Err(_) => return,
                 Ok(_) => self.buffer.extend_from_slice(&chunk),
             }
+            if self.update_lease().is_err() {
+                std::future::pending::<()>().await;
+            }
         }
     }
 
     async fn fill(&mut self, deadline: Instant) -> Result<(), HttpFault> {
         let wait = deadline.saturating_duration_since(Instant::now());
         let chunk = BytesMut::with_capacity(READ_SIZE);
-        let read = monoio::time::timeout(wait, self.read.read(chunk)).await;
+        let read = monoio::time::timeout(wait, self.read.read(chunk));
+        let read = match &self.lease {
+            None => read.await,
+            Some(lease) => monoio::select! {
+                biased;
+                shortage = lease.wait_evicted() => return Err(shortage.into()),
+                read = read => read,
+            },
+        };
         let Ok((read, chunk)) = read else {
             return Err(HttpFault::TimedOut);
         };
@@ -262,6 +349,7 @@
         } else {
             self.buffer.extend_from_slice(&chunk);
         }
+        self.update_lease()?;
         if self.turn_bytes >= TURN_BYTES {
             self.turn_bytes = 0;
             monoio::time::sleep(TURN_PAUSE).await;
@@ -323,9 +411,12 @@
             let limit = limits.body_bytes;
             return Err(HttpFault::BodyTooLarge { limit });
         }
-        // Growing by doubling would hold up to twice the body.
-        self.buffer.reserve(length.saturating_sub(self.buffer.len()));
         while self.buffer.len() < length {
+            // Growing by doubling would hold up to twice the body. A body of
+            // which little has arrived takes little.
+            if self.buffer.len() >= RESERVE_BYTES || length <= RESERVE_BYTES {
+                self.buffer.reserve(length - self.buffer.len());
+            }
             self.fill(limits.read_deadline(deadline)).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
@@ -405,6 +496,11 @@
                 return Err(HttpFault::BodyTooLarge { limit });
             }
             body.extend_from_slice(&chunk);
+            self.body_bytes = body.len();
+            if chunk.len() >= RESERVE_BYTES {
+                // The buffer shares the memory of the chunk.
+                self.buffer = BytesMut::from(&self.buffer[..]);
+            }
         }
     }
 }
--- a/src/adapters/http/encode.rs
+++ b/src/adapters/http/encode.rs
@@ -19,6 +19,8 @@
     },
 };
 
+use crate::error::CallError;
+
 /// The last chunk of a chunked body.
 pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -102,6 +104,17 @@
     response(status, "application/json", body.to_string())
 }
 
+/// Builds the response for an error, with `Retry-After` in whole seconds.
+pub fn error_response(error: &CallError) -> Response<Bytes> {
+    let status = error.kind.response().status;
+    let mut response = json_response(status, &error.to_json());
+    if let Some(seconds) = error.retry_after() {
+        let headers = response.headers_mut();
+        headers.insert(http::header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
 /// Builds a plain text response.
 pub fn text_response(status: u16, body: String) -> Response<Bytes> {
     response(status, "text/plain; charset=utf-8", body)
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -18,7 +18,7 @@
     accept::{accept_until, request_error},
     client::{HttpClient, ReplyTimeouts},
     connection::{HttpConnection, HttpFault, MessageLimits},
-    encode::{json_response, text_response},
+    encode::{error_response, json_response, text_response},
     reply::{HttpReply, ReplyBody, SentRequest},
     server::{HttpRequest, HttpResponder, RequestReader, StreamWriter},
 };
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -5,7 +5,10 @@
 use {
     bytes::{BufMut, Bytes, BytesMut},
     http::{Response, header::CONNECTION, request},
-    monoio::{io::OwnedWriteHalf, net::TcpStream},
+    monoio::{
+        io::{AsyncWriteRent, OwnedWriteHalf},
+        net::TcpStream,
+    },
     monoio_http::h1::codec::decoder::RequestHeadDecoder,
 };
 
@@ -14,6 +17,13 @@
     connection::{BoundedReader, body_length, write_all},
     encode::{LAST_CHUNK, encode_message, encode_stream_head, payload_of},
 };
+use crate::memory::MemoryPool;
+
+/// Longest time for which the rest of a refused request is read.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum number of bytes of a refused request that are read and dropped.
+const MAX_DRAIN_BYTES: usize = 32 * 1024 * 1024;
 
 /// Maximum number of bytes of the next request that are buffered while one is
 /// served.
@@ -51,6 +61,7 @@
 pub struct RequestReader {
     reader: BoundedReader,
     limits: MessageLimits,
+    memory: MemoryPool,
 }
 
 /// Writes the responses of one connection.
@@ -61,13 +72,14 @@
 }
 
 impl HttpConnection {
-    /// Splits the connection into a reader of requests and a writer of
-    /// responses.
+    /// Splits the connection into a reader of requests, which take their
+    /// memory from `memory`, and a writer of responses.
     pub fn into_server(
         self,
         limits: MessageLimits,
+        memory: MemoryPool,
     ) -> (RequestReader, HttpResponder) {
-        let reader = RequestReader { reader: self.reader, limits };
+        let reader = RequestReader { reader: self.reader, limits, memory };
         let responder = HttpResponder {
             writer: self.writer,
             has_begun: false,
@@ -98,11 +110,13 @@
 
     /// Reads the next request, and waits up to `idle` for its first byte.
     ///
+    /// The request holds its memory until [`RequestReader::end_request`].
+    ///
     /// # Errors
     ///
     /// `Closed` if the connection was closed or stayed idle between two
     /// requests, in which case no answer is due. All other faults concern a
-    /// request that has begun to arrive.
+    /// request that has begun to arrive; what was read of it is dropped.
     pub async fn next_request(
         &mut self,
         idle: Duration,
@@ -111,6 +125,15 @@
             Err(HttpFault::TimedOut) => return Err(HttpFault::Closed),
             other => other?,
         }
+        let request = self.read_request().await;
+        if request.is_err() {
+            self.reader.discard();
+        }
+        request
+    }
+
+    async fn read_request(&mut self) -> Result<HttpRequest, HttpFault> {
+        self.reader.begin_lease(self.memory.open())?;
         let deadline = Instant::now() + self.limits.message_timeout;
         let decoder = RequestHeadDecoder;
         let head = self.reader.read_head(decoder, &self.limits, deadline);
@@ -118,9 +141,29 @@
         let length = body_length(&head.headers)?;
         let body = self.reader.read_body(length, &self.limits, deadline);
         let body = body.await?;
+        self.reader.body_bytes = body.len();
+        self.reader.finish_lease()?;
         Ok(HttpRequest { head, body })
     }
 
+    /// Frees the memory of a request that is over.
+    pub fn end_request(&mut self) {
+        self.reader.end_lease();
+    }
+
+    /// Ends a connection whose last request was refused before it had arrived
+    /// in full.
+    ///
+    /// The rest of the request is read and dropped, for a limited time. A
+    /// connection that is closed with unread bytes is reset, and a reset may
+    /// reach the caller before it has read the refusal.
+    pub async fn end_connection(&mut self, responder: &mut HttpResponder) {
+        // The caller may be gone already.
+        let _ = responder.writer.shutdown().await;
+        let deadline = Instant::now() + DRAIN_TIMEOUT;
+        self.reader.drain(MAX_DRAIN_BYTES, deadline).await;
+    }
+
     /// Waits until the caller closes its connection.
     pub async fn wait_closed(&mut self) {
         self.reader.wait_closed(MAX_READ_AHEAD_BYTES).await
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,6 +15,7 @@
 mod reader;
 mod settings;
 
+pub(crate) use self::reader::parse_size;
 pub use self::{
     control::{
         CONTROL_STREAM, ChangeRecord, ControlLedger, ControlRecord,
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -290,7 +290,7 @@
         };
         let Some(size) = value.as_str().and_then(parse_size) else {
             let found = shown(&value);
-            let wanted = "a size with a unit (B, KiB, MiB)";
+            let wanted = "a size with a unit (B, KiB, MiB, MB)";
             self.fault(key, format!("expected {wanted}, {found}"));
             return default;
         };
@@ -302,6 +302,15 @@
         size
     }
 
+    /// A size such as `160MB`, if it is there.
+    pub fn optional_size(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        self.map.contains_key(key).then(|| self.size(key, 0, range))
+    }
+
     /// One of a closed list of words; the first one if it is absent.
     pub fn choice<T: Copy>(&mut self, key: &str, choices: &[(&str, T)]) -> T {
         let default = choices[0].1;
@@ -400,12 +409,14 @@
     Duration::try_from_secs_f64(duration).ok()
 }
 
-fn parse_size(text: &str) -> Option<u64> {
+/// Parses a size such as `16KiB` or `160MB`.
+pub(crate) fn parse_size(text: &str) -> Option<u64> {
     let (count, unit) = split_unit(text)?;
     let factor = match unit {
         "B" => 1.0,
         "KiB" => 1024.0,
         "MiB" => 1024.0 * 1024.0,
+        "MB" => 1_000_000.0,
         _ => return None,
     };
     Some((count * factor).round() as u64)
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -78,6 +78,9 @@
     pub head_bytes: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
+    /// Bytes that the requests of all callers may hold together; `None` if
+    /// the memory of the VM decides.
+    pub request_bytes: Option<usize>,
     /// Longest time for a request to arrive.
     pub request_time: Duration,
     /// Longest time for which an idle connection is kept.
@@ -134,6 +137,9 @@
     pub entry_lifetime: Duration,
     /// Entry VMs that one entry answer names at least.
     pub entry_width: usize,
+    /// Memory of the VM in bytes; `None` if it is not known. It is no key of
+    /// the file.
+    pub memory_bytes: Option<u64>,
     /// Processor of the VM in hundredths of a core; 0 if it is not known.
     pub capacity: u32,
     /// Time within which a change of the declarations must be in force.
@@ -155,6 +161,14 @@
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * 1024;
+const GIB: u64 = 1024 * MIB;
+
+/// Bytes that requests may hold if the memory of the VM is not known.
+const DEFAULT_REQUEST_BYTES: u64 = 32 * MIB;
+
+/// Part of the memory of the VM that requests may hold, as a divisor. A body
+/// may take twice its size while it is copied.
+const REQUEST_MEMORY_DIVISOR: u64 = 4;
 
 impl RouterSettings {
     /// Reads settings from a YAML file.
@@ -234,6 +248,7 @@
             moves,
             entry_lifetime,
             entry_width,
+            memory_bytes: None,
             capacity,
             apply_time,
             leave_time,
@@ -242,6 +257,36 @@
     }
 }
 
+impl RouterSettings {
+    /// Sets the memory of the VM in bytes.
+    pub fn with_memory(mut self, bytes: u64) -> RouterSettings {
+        self.memory_bytes = Some(bytes);
+        self
+    }
+
+    /// Returns the bytes that the requests of all callers may hold together:
+    /// those of the file, or else a part of the memory of the VM.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use magnoliahaven::RouterSettings;
+    ///
+    /// let text = "{vm: a, region: r, domain: z, listen: {callers: \
+    ///     '127.0.0.1:1', operators: '127.0.0.1:2', peers: '127.0.0.1:3'}, \
+    ///     log: {address: '127.0.0.1:4'}}";
+    /// let settings = RouterSettings::parse("a.yaml", text).unwrap();
+    /// let settings = settings.with_memory(160_000_000);
+    /// assert_eq!(settings.request_memory(), 40_000_000);
+    /// ```
+    pub fn request_memory(&self) -> usize {
+        let by_memory =
+            self.memory_bytes.map(|bytes| bytes / REQUEST_MEMORY_DIVISOR);
+        let default = by_memory.unwrap_or(DEFAULT_REQUEST_BYTES) as usize;
+        self.limits.request_bytes.unwrap_or(default)
+    }
+}
+
 fn parse_listen(reader: &mut super::YamlReader) -> ListenSettings {
     let mut section = reader.section("listen");
     let callers = section.address("callers");
@@ -311,6 +356,7 @@
     let mut section = reader.section("limits");
     let head = section.size("head", 16 * KIB, KIB..=64 * KIB);
     let body = section.size("body", MIB, KIB..=64 * MIB);
+    let requests = section.optional_size("requests", MIB..=1024 * GIB);
     let request_time =
         section.duration("request_time", s(10), ms(50)..=s(600));
     let idle_time = section.duration("idle_time", s(60), ms(100)..=s(3600));
@@ -328,6 +374,7 @@
     LimitSettings {
         head_bytes: head as usize,
         body_bytes: body as usize,
+        request_bytes: requests.map(|bytes| bytes as usize),
         request_time,
         idle_time,
         connections: connections as usize,
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -116,6 +116,8 @@
         "No live upstream serves the model or service.";
     Overloaded, "overloaded", 503, No, Some(1),
         "All upstreams are at capacity and the wait in the queue timed out.";
+    OutOfMemory, "out_of_memory", 503, No, Some(1),
+        "The requests in progress hold all memory for requests.";
     LogUnavailable, "log_unavailable", 503, No, Some(5),
         "The request needs the log service, which is unreachable.";
     BudgetUnavailable, "budget_unavailable", 503, No, Some(1),
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -21,6 +21,7 @@
             members: &self.members,
             peers: &self.ports.peers,
             load: &self.in_progress,
+            memory: &self.request_memory,
         }
     }
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -19,6 +19,7 @@
     domain::HolderId,
     error::{CallError, ErrorKind},
     membership::{MemberTable, OutageTracker, UpstreamRoster, VmDirectory},
+    memory::MemoryPool,
     ports::{
         CatalogPort, DeclaredCatalog, ForwardPort, KeyedPort, KnownState,
         MovePort, PeerPort, UpstreamListPort, VmListPort,
@@ -135,6 +136,8 @@
     pub(super) leaving_since: Cell<Option<Instant>>,
     /// Number of requests in progress.
     pub in_progress: Cell<usize>,
+    /// The memory of the requests of callers.
+    pub request_memory: MemoryPool,
     /// Until when this router is left out of entry answers for lack of
     /// tokens.
     pub(super) token_shortage_until: Cell<Option<Instant>>,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -23,6 +23,7 @@
     membership::{
         MemberOptions, MemberTable, OutageTracker, UpstreamRoster, VmDirectory,
     },
+    memory::MemoryPool,
     process::{
         Leaving, ProcessChannels, ServerProcess, Serving, StartFault,
         Starting, bind_exclusive, listen, new_holder_id,
@@ -166,6 +167,7 @@
     let keeper = AllowanceKeeper::new(id.clone(), options, keeper_ports);
     let declarations =
         DeclarationTracker::new().with_apply_time(settings.apply_time);
+    let request_memory = MemoryPool::new(settings.request_memory());
     GatewayCore {
         settings,
         id,
@@ -178,6 +180,7 @@
         metrics: RouterMetrics::new(),
         leaving_since: Cell::new(None),
         in_progress: Cell::new(0),
+        request_memory,
         token_shortage_until: Cell::new(None),
         catalog: RefCell::new(None),
         declarations: RefCell::new(declarations),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod error;
 pub mod gateway;
 pub mod membership;
+pub mod memory;
 pub mod moves;
 pub mod ports;
 pub mod process;
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -51,12 +51,16 @@
 async fn serve_connection<C: ProcessCore>(core: &Rc<C>, stream: TcpStream) {
     let connection = HttpConnection::new(stream);
     let limits = message_limits(&core.caller_limits());
-    let (mut reader, mut responder) = connection.into_server(limits);
+    let memory = core.view().memory.clone();
+    let (mut reader, mut responder) = connection.into_server(limits, memory);
     loop {
-        let request = match next_request(core.as_ref(), &mut reader).await {
+        let request = next_request(core.as_ref(), &mut reader).await;
+        core.view().note_memory();
+        let request = match request {
             Ok(request) => request,
             Err(fault) => {
-                refuse_unreadable(core, &mut responder, &fault).await;
+                refuse_unreadable(core, &mut reader, &mut responder, &fault)
+                    .await;
                 return;
             }
         };
@@ -67,6 +71,8 @@
         responder.reset(!keep_alive);
         let is_usable =
             serve_request(core, request, &mut reader, &mut responder).await;
+        reader.end_request();
+        core.view().note_memory();
         if !is_usable || !keep_alive {
             return;
         }
@@ -188,9 +194,11 @@
     responder.send(core.error_answer(error)).await.is_ok()
 }
 
-/// Answers a request that could not be read, with an empty request ID.
+/// Answers a request that could not be read, with an empty request ID, and
+/// lets the caller read the answer before the connection is closed.
 async fn refuse_unreadable<C: ProcessCore>(
     core: &Rc<C>,
+    reader: &mut RequestReader,
     responder: &mut HttpResponder,
     fault: &HttpFault,
 ) {
@@ -198,6 +206,7 @@
         return;
     };
     responder.reset(true);
-    // The connection ends in any case, even if the caller is gone.
-    let _ = refuse(core, responder, "", &error).await;
+    if refuse(core, responder, "", &error).await {
+        reader.end_connection(responder).await;
+    }
 }
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -23,6 +23,7 @@
     domain::HolderId,
     error::CallError,
     membership::MemberTable,
+    memory::MemoryPool,
     ports::{PeerHandler, PeerPort},
     runtime::{EXIT_START, EXIT_UNSETTLED, spawn, spawn_loop},
     telemetry::{LogEvent, RouterMetrics},
@@ -46,6 +47,16 @@
     pub peers: &'a Rc<dyn PeerPort>,
     /// The number of requests of callers in progress.
     pub load: &'a Cell<usize>,
+    /// The memory of the requests of callers.
+    pub memory: &'a MemoryPool,
+}
+
+impl ProcessView<'_> {
+    /// Sets the metric of the memory that requests hold.
+    pub(super) fn note_memory(&self) {
+        let held = self.memory.held_bytes();
+        self.metrics.request_bytes.set(held as i64);
+    }
 }
 
 /// The version and the age of the declarations that a process applies.
--- a/src/process/listen.rs
+++ b/src/process/listen.rs
@@ -17,8 +17,10 @@
 
 use crate::{
     adapters::http::{
-        HttpConnection, HttpRequest, MessageLimits, accept_until,
+        HttpConnection, HttpFault, HttpRequest, HttpResponder, MessageLimits,
+        RequestReader, accept_until, error_response, request_error,
     },
+    memory::MemoryPool,
     runtime::spawn,
 };
 
@@ -31,6 +33,9 @@
 /// Idle connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Memory in bytes for the requests to one listener.
+const LISTENER_REQUEST_BYTES: usize = 4 * 1024 * 1024;
+
 /// An error that keeps a process from starting.
 #[derive(Debug, Snafu)]
 pub enum StartFault {
@@ -79,6 +84,9 @@
 
 /// Serves requests with a synchronous handler, which answers from memory
 /// without I/O, until the process ends.
+///
+/// Their requests take no memory from those of callers, so that neither can
+/// keep the other from an answer.
 pub(crate) async fn serve_sync(
     listener: TcpListener,
     answer: impl Fn(&HttpRequest) -> Response<Bytes> + 'static,
@@ -86,25 +94,51 @@
     // Nothing notifies `stop`: these listeners end with the process.
     let stop = Rc::new(Notify::new());
     let answer = Rc::new(answer);
+    let memory = MemoryPool::new(LISTENER_REQUEST_BYTES);
     let serve = |stream| {
-        spawn("connection", serve_connection(stream, answer.clone()));
+        let served = serve_connection(stream, memory.clone(), answer.clone());
+        spawn("connection", served);
     };
     accept_until(listener, stop, serve).await;
 }
 
 async fn serve_connection(
     stream: TcpStream,
+    memory: MemoryPool,
     answer: Rc<impl Fn(&HttpRequest) -> Response<Bytes>>,
 ) {
     let connection = HttpConnection::new(stream);
     let (mut reader, mut responder) =
-        connection.into_server(MessageLimits::new());
-    while let Ok(request) = reader.next_request(IDLE_TIMEOUT).await {
+        connection.into_server(MessageLimits::new(), memory);
+    loop {
+        let request = match reader.next_request(IDLE_TIMEOUT).await {
+            Ok(request) => request,
+            Err(fault) => {
+                refuse(&fault, &mut reader, &mut responder).await;
+                return;
+            }
+        };
         let keep_alive = request.keeps_alive();
         responder.reset(!keep_alive);
         let response = answer(&request);
         if responder.send(response).await.is_err() || !keep_alive {
             return;
         }
+        reader.end_request();
+    }
+}
+
+/// Answers a request that could not be read.
+async fn refuse(
+    fault: &HttpFault,
+    reader: &mut RequestReader,
+    responder: &mut HttpResponder,
+) {
+    let Some(error) = request_error(fault) else {
+        return;
+    };
+    responder.reset(true);
+    if responder.send(error_response(&error)).await.is_ok() {
+        reader.end_connection(responder).await;
     }
 }
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -11,7 +11,8 @@
 use super::{RouterCore, chat, service_call};
 use crate::{
     adapters::http::{
-        HttpRequest, HttpResponder, RequestReader, json_response,
+        HttpRequest, HttpResponder, RequestReader, error_response,
+        json_response,
     },
     catalog::CallerLimits,
     entry::{EntryAnswer, EntryHealth, rank_entries},
@@ -38,6 +39,7 @@
             members: &self.members,
             peers: &self.ports.peers,
             load: &self.in_progress,
+            memory: &self.request_memory,
         }
     }
 
@@ -75,17 +77,6 @@
     }
 }
 
-/// Returns the HTTP response for an error.
-pub(super) fn error_response(error: &CallError) -> Response<Bytes> {
-    let status = error.kind.response().status;
-    let mut response = json_response(status, &error.to_json());
-    if let Some(seconds) = error.retry_after() {
-        let headers = response.headers_mut();
-        headers.insert(http::header::RETRY_AFTER, seconds.into());
-    }
-    response
-}
-
 /// Serves one request and returns whether the connection can be kept open.
 async fn serve_request(
     core: &Rc<RouterCore>,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -20,6 +20,7 @@
     domain::{BudgetName, HolderId},
     error::{CallError, ErrorKind},
     membership::{MemberTable, VmDirectory},
+    memory::MemoryPool,
     moves::{EvidenceStore, MoveState, RequestResult},
     ports::{LogPort, PeerPort, UpstreamPort, VmListPort},
     routing::{RetryBudget, UpstreamTable},
@@ -95,6 +96,8 @@
     pub leaving: Cell<bool>,
     /// The number of callers' requests in progress.
     pub in_progress: Cell<usize>,
+    /// The memory of the requests of callers.
+    pub request_memory: MemoryPool,
     /// The last number used for a generated request ID.
     pub(super) last_request_number: Cell<u64>,
     /// Sends operators' requests to leave to the process.
--- a/src/router/operators.rs
+++ b/src/router/operators.rs
@@ -9,10 +9,10 @@
     serde_json::{Value, json},
 };
 
-use super::{RouterCore, callers::error_response};
+use super::RouterCore;
 use crate::{
     adapters::{
-        http::{HttpRequest, json_response, text_response},
+        http::{HttpRequest, error_response, json_response, text_response},
         peer::ProcessSignal,
     },
     error::{CallError, ErrorKind},
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -21,6 +21,7 @@
     config::RouterSettings,
     domain::HolderId,
     membership::{MemberOptions, MemberTable, VmDirectory},
+    memory::MemoryPool,
     moves::EvidenceStore,
     process::{
         Leaving, ProcessChannels, ServerProcess, Serving, StartFault,
@@ -208,6 +209,7 @@
     let member_options = MemberOptions::new();
     let members =
         MemberTable::new(id.clone(), directory.clone(), member_options);
+    let request_memory = MemoryPool::new(settings.request_memory());
     RouterCore {
         settings,
         id,
@@ -228,6 +230,7 @@
         metrics: RouterMetrics::new(),
         leaving: Cell::new(false),
         in_progress: Cell::new(0),
+        request_memory,
         last_request_number: Cell::new(0),
         leave_requests,
         started: Instant::now(),
--- a/src/runtime/launch.rs
+++ b/src/runtime/launch.rs
@@ -6,7 +6,7 @@
 
 use super::block_on;
 use crate::{
-    config::RouterSettings,
+    config::{RouterSettings, parse_size},
     telemetry::{LogEvent, flush_logging, init_logging},
 };
 
@@ -20,17 +20,29 @@
 /// Exit code if the process ended before everything was settled.
 pub const EXIT_UNSETTLED: u8 = 4;
 
+/// Smallest memory of a VM in bytes.
+const MIN_MEMORY_BYTES: u64 = 16 * 1024 * 1024;
+
 /// The options that all processes of a fleet have.
 #[derive(Args, Clone, Debug)]
 pub struct LaunchOptions {
     /// File with the settings.
     #[arg(long, env = "MAGNOLIAHAVEN_SETTINGS")]
     pub settings: PathBuf,
+    /// Memory of the VM, for example `160MB`.
+    #[arg(long, env = "MAGNOLIA_MEMORY", value_parser = parse_memory)]
+    pub memory: Option<u64>,
     /// Check the settings and exit.
     #[arg(long)]
     pub check: bool,
 }
 
+/// Parses the memory of a VM.
+fn parse_memory(text: &str) -> Result<u64, String> {
+    let size = parse_size(text).filter(|bytes| *bytes >= MIN_MEMORY_BYTES);
+    size.ok_or_else(|| "expected at least 16MiB (B, KiB, MiB, MB)".to_owned())
+}
+
 /// Reads the settings, sets up logging and runs a process.
 pub fn launch<F: Future<Output = ExitCode>>(
     options: &LaunchOptions,
@@ -49,6 +61,10 @@
         println!("{}: settings are valid", options.settings.display());
         return ExitCode::SUCCESS;
     }
+    let settings = match options.memory {
+        Some(bytes) => settings.with_memory(bytes),
+        None => settings,
+    };
     init_logging(&settings.vm);
     let code = block_on(run(settings)).unwrap_or_else(|err| {
         log::error!(
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -34,6 +34,8 @@
     events: IntCounterVec,
     /// Bytes held in memory for slow readers.
     pub held_bytes: IntGauge,
+    /// Bytes that the requests of callers hold.
+    pub request_bytes: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Version of the catalog in force.
@@ -128,6 +130,10 @@
                 "magnolia_held_bytes",
                 "Bytes held in memory for slow readers.",
             ),
+            request_bytes: gauge(
+                "magnolia_request_bytes",
+                "Bytes that the requests of callers hold in memory.",
+            ),
             connections: gauge(
                 "magnolia_connections",
                 "Open connections of callers.",
@@ -197,6 +203,7 @@
             Box::new(self.tokens.clone()),
             Box::new(self.events.clone()),
             Box::new(self.held_bytes.clone()),
+            Box::new(self.request_bytes.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.catalog_version.clone()),
             Box::new(self.catalog_confirmed_at.clone()),
--- a/standins/src/server/mod.rs
+++ b/standins/src/server/mod.rs
@@ -10,9 +10,12 @@
 };
 
 use {
-    magnoliahaven::adapters::http::{
-        HttpConnection, HttpRequest, HttpResponder, MessageLimits,
-        RequestReader,
+    magnoliahaven::{
+        adapters::http::{
+            HttpConnection, HttpRequest, HttpResponder, MessageLimits,
+            RequestReader,
+        },
+        memory::MemoryPool,
     },
     monoio::net::{ListenerOpts, TcpListener, TcpStream},
 };
@@ -23,6 +26,9 @@
 /// Largest body that a stand-in takes, in bytes.
 const BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Memory in bytes for the requests of one connection.
+const MEMORY_BYTES: usize = 2 * BODY_BYTES;
+
 /// Longest wait for an address that another process still uses.
 const BIND_TIME: Duration = Duration::from_secs(3);
 
@@ -109,12 +115,14 @@
         .with_body_bytes(BODY_BYTES)
         .with_message_timeout(Duration::from_secs(60));
     let connection = HttpConnection::new(stream);
-    let (mut reader, mut responder) = connection.into_server(limits);
+    let memory = MemoryPool::new(MEMORY_BYTES);
+    let (mut reader, mut responder) = connection.into_server(limits, memory);
     while let Ok(request) = reader.next_request(IDLE_TIME).await {
         responder.reset(false);
         let handler = handler.clone();
         if !handler.handle(request, &mut reader, &mut responder).await {
             return;
         }
+        reader.end_request();
     }
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -49,7 +49,7 @@
             "a.yaml: listen.callers: expected an address IP:PORT, found \
              \"xela-1\"",
             "a.yaml: limits.body: expected a size with a unit (B, KiB, \
-             MiB), found 1000000",
+             MiB, MB), found 1000000",
             "a.yaml: vn: unknown key",
         ]
     );
@@ -62,6 +62,8 @@
     out_of_range = { "budgets: {partitions: 0}", "budgets.partitions" },
     not_a_mapping = { "budgets: 7", "budgets" },
     too_short = { "budgets: {settle_interval: 600s}\n", "log.retention" },
+    small_requests = { "limits: {requests: 1KiB}", "limits.requests" },
+    requests_without_unit = { "limits: {requests: 4}", "limits.requests" },
     bad_seed = { "seeds: [nowhere]", "seeds" },
 )]
 fn a_faulty_key_is_named(extra: &str, key: &str) {
@@ -107,6 +109,26 @@
     assert_eq!(settings.apply_time, Duration::from_millis(700));
 }
 
+/// The memory for requests is a part of that of the VM, unless it is set.
+#[parameterized(
+    unknown = { "", None, 33_554_432 },
+    small_vm = { "", Some(160_000_000), 40_000_000 },
+    large_vm = { "", Some(512_000_000), 128_000_000 },
+    set = { "limits: {requests: 8MiB}", Some(160_000_000), 8_388_608 },
+)]
+fn the_memory_for_requests_follows_that_of_the_vm(
+    line: &str,
+    memory: Option<u64>,
+    bytes: usize,
+) {
+    let text = format!("{SETTINGS}{line}\n");
+    let mut settings = RouterSettings::parse("a.yaml", &text).unwrap();
+    if let Some(memory) = memory {
+        settings = settings.with_memory(memory);
+    }
+    assert_eq!(settings.request_memory(), bytes);
+}
+
 #[test]
 fn text_that_is_not_yaml_is_one_fault() {
     let faults = RouterSettings::parse("a.yaml", "a: [").unwrap_err();
