A request that was being written to an upstream was held twice

Cause: a whole message was encoded into memory before it was written, so that its body was there once more for as long as the upstream took to read it. limits.requests counts it once.

Change: the library's encoder writes to the connection itself, by reference, and a large body from where it is.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -18,8 +18,7 @@
 
 use super::{
     HttpConnection, HttpFault, HttpReply, MessageLimits, SentRequest,
-    encode::{encode_message, payload_of},
-    reply::MEMORY_UNIT,
+    encode::payload_of, reply::MEMORY_UNIT,
 };
 use crate::runtime::{InFlightCount, spawn};
 
@@ -257,25 +256,20 @@
     }
 
     /// Begins to send a request on a connection.
-    ///
-    /// # Errors
-    ///
-    /// `Socket` if the request cannot be encoded. No byte of it was sent.
-    pub async fn begin(
+    pub fn begin(
         &self,
         address: SocketAddr,
         connection: HttpConnection,
         mut request: Request<Bytes>,
-    ) -> Result<SentRequest, HttpFault> {
+    ) -> SentRequest {
         let headers = request.headers_mut();
         if !headers.contains_key(http::header::HOST) {
             let host = http::HeaderValue::from_str(&address.to_string())
                 .expect("a socket address is printable");
             headers.insert(http::header::HOST, host);
         }
-        let message = request.map(payload_of);
-        let encoded = encode_message(message).await?;
-        Ok(SentRequest::new(self.clone(), address, connection, encoded))
+        let request = request.map(payload_of);
+        SentRequest::new(self.clone(), address, connection, request)
     }
 
     /// Sends a request on a connection and reads the head of the response.
@@ -294,7 +288,7 @@
         request: Request<Bytes>,
         head_timeout: Duration,
     ) -> Result<HttpReply, HttpFault> {
-        let sent = self.begin(address, connection, request).await?;
+        let sent = self.begin(address, connection, request);
         sent.next_reply(Instant::now() + head_timeout).await
     }
 
--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -53,7 +53,7 @@
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Longest time to write a message to a remote end that reads slowly.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An error of reading or writing a message.
 #[derive(Debug, Snafu)]
--- a/src/adapters/http/encode.rs
+++ b/src/adapters/http/encode.rs
@@ -1,6 +1,6 @@
 //! Encoding of complete messages and of the heads of chunked responses.
 
-use std::{cell::RefCell, io, rc::Rc};
+use std::{cell::RefCell, fmt::Display, io, rc::Rc};
 
 use {
     bytes::{Bytes, BytesMut},
@@ -8,7 +8,10 @@
     monoio::{
         BufResult,
         buf::{IoBuf, IoVecBuf},
-        io::{AsyncWriteRent, sink::SinkExt},
+        io::{
+            AsyncWriteRent,
+            sink::{Sink, SinkExt},
+        },
     },
     monoio_http::{
         common::IntoParts,
@@ -19,17 +22,13 @@
     },
 };
 
+use super::{HttpFault, connection::WRITE_TIMEOUT};
 use crate::error::CallError;
 
 /// The last chunk of a chunked body.
 pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// A writer that collects the written bytes in memory.
-///
-/// The encoder of `monoio-http` takes ownership of its writer and never
-/// returns it. An encoder on the socket would keep the connection from
-/// writing the chunks of a stream, so messages are encoded into memory
-/// first.
 #[derive(Clone, Default)]
 pub(super) struct MemorySink {
     written: Rc<RefCell<BytesMut>>,
@@ -59,19 +58,25 @@
     }
 }
 
-/// Encodes a complete request or response.
-pub(super) async fn encode_message<M>(message: M) -> io::Result<Bytes>
+/// Writes a complete request or response.
+///
+/// A large body is written from where it is, without a copy.
+pub(super) async fn write_message<W, M>(
+    writer: W,
+    message: M,
+) -> Result<(), HttpFault>
 where
     M: IntoParts,
-    GenericEncoder<MemorySink>: monoio::io::sink::Sink<M>,
-    <GenericEncoder<MemorySink> as monoio::io::sink::Sink<M>>::Error:
-        std::fmt::Display,
+    GenericEncoder<W>: Sink<M>,
+    <GenericEncoder<W> as Sink<M>>::Error: Display,
 {
-    let sink = MemorySink::default();
-    let mut encoder = GenericEncoder::new(sink.clone());
-    let sent = encoder.send_and_flush(message).await;
-    sent.map_err(|err| io::Error::other(err.to_string()))?;
-    Ok(sink.written.take().freeze())
+    let mut encoder = GenericEncoder::new(writer);
+    let write = encoder.send_and_flush(message);
+    match monoio::time::timeout(WRITE_TIMEOUT, write).await {
+        Err(_) => Err(HttpFault::TimedOut),
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(err)) => Err(io::Error::other(err.to_string()).into()),
+    }
 }
 
 /// Encodes the head of a chunked response without any chunk.
@@ -81,7 +86,11 @@
     let (payload, mut sender) = stream_payload_pair();
     sender.feed_data(None);
     let message = head.map(|()| Payload::<Bytes>::Stream(payload));
-    let mut encoded = encode_message(message).await?;
+    let sink = MemorySink::default();
+    let mut encoder = GenericEncoder::new(sink.clone());
+    let encoded = encoder.send_and_flush(message).await;
+    encoded.map_err(|err| io::Error::other(err.to_string()))?;
+    let mut encoded = sink.written.take().freeze();
     // The encoder ends the empty body with the last chunk. It is removed,
     // because the connection writes the chunks itself.
     encoded.truncate(encoded.len() - LAST_CHUNK.len());
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -17,16 +17,17 @@
 
 use {
     bytes::Bytes,
-    http::{HeaderMap, StatusCode, response},
+    http::{HeaderMap, Request, StatusCode, response},
     monoio::{io::OwnedWriteHalf, net::TcpStream},
-    monoio_http::h1::codec::decoder::ResponseHeadDecoder,
+    monoio_http::h1::{codec::decoder::ResponseHeadDecoder, payload::Payload},
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
 
 use super::{
     HttpClient, HttpConnection, HttpFault, MessageLimits,
     chunked::ChunkedBody,
-    connection::{BodyLength, BoundedReader, body_length, write_all},
+    connection::{BodyLength, BoundedReader, body_length},
+    encode::write_message,
 };
 use crate::domain::MAX_TIME;
 
@@ -56,10 +57,10 @@
 impl RequestWrite {
     fn new(
         mut writer: OwnedWriteHalf<TcpStream>,
-        encoded: Bytes,
+        request: Request<Payload>,
     ) -> RequestWrite {
         RequestWrite::Writing(Box::pin(async move {
-            write_all(&mut writer, encoded).await?;
+            write_message(&mut writer, request).await?;
             Ok(writer)
         }))
     }
@@ -97,16 +98,16 @@
 }
 
 impl SentRequest {
-    /// Begins to write an encoded request. The write continues while a
+    /// Begins to write a request. The write continues while a
     /// response is awaited or read.
     pub(super) fn new(
         client: HttpClient,
         address: SocketAddr,
         connection: HttpConnection,
-        encoded: Bytes,
+        request: Request<Payload>,
     ) -> SentRequest {
         let HttpConnection { reader, writer } = connection;
-        let write = RequestWrite::new(writer, encoded);
+        let write = RequestWrite::new(writer, request);
         SentRequest { client, address, reader, write, closes: false }
     }
 
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -15,7 +15,7 @@
 use super::{
     HttpConnection, HttpFault, MessageLimits,
     connection::{BoundedReader, body_length, write_all},
-    encode::{LAST_CHUNK, encode_message, encode_stream_head, payload_of},
+    encode::{LAST_CHUNK, encode_stream_head, payload_of, write_message},
 };
 use crate::memory::MemoryPool;
 
@@ -200,8 +200,7 @@
         self.has_begun = true;
         self.announce_close(&mut response);
         let message = response.map(payload_of);
-        let encoded = encode_message(message).await?;
-        write_all(&mut self.writer, encoded).await
+        write_message(&mut self.writer, message).await
     }
 
     /// Sends the head of a chunked response, and returns a writer for its
