--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    os::fd::{AsRawFd, BorrowedFd},
+    os::fd::{AsRawFd, BorrowedFd, RawFd},
     time::{Duration, Instant},
 };
 
@@ -187,6 +187,8 @@
 /// The read half of a connection, with the bytes that were read ahead.
 pub(super) struct BoundedReader {
     read: OwnedReadHalf<TcpStream>,
+    /// The socket of `read`.
+    descriptor: RawFd,
     buffer: BytesMut,
     /// Bytes at the start of the buffer that hold no end of a head.
     searched: usize,
@@ -212,13 +214,15 @@
         let _ = stream.set_nodelay(true);
         // Bounds the memory that the kernel uses on this VM for a slow
         // reader.
+        let descriptor = stream.as_raw_fd();
         // SAFETY: the stream stays open for as long as the borrow lives.
-        let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+        let fd = unsafe { BorrowedFd::borrow_raw(descriptor) };
         let socket = SockRef::from(&fd);
         let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         let (read, writer) = stream.into_split();
         let reader = BoundedReader {
             read,
+            descriptor,
             buffer: BytesMut::new(),
             searched: 0,
             turn_bytes: 0,
@@ -463,6 +467,14 @@
         Ok(Some(self.buffer.split().freeze()))
     }
 
+    /// Returns whether the connection has met an error that no read or write
+    /// has returned.
+    pub(super) fn has_error(&self) -> bool {
+        // SAFETY: the socket is open for as long as its read half lives.
+        let fd = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
+        matches!(SockRef::from(&fd).take_error(), Ok(Some(_)))
+    }
+
     /// Returns whether bytes after the last message have been read.
     pub(super) fn has_surplus(&self) -> bool {
         !self.buffer.is_empty()
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -36,6 +36,9 @@
 /// connection at any moment.
 const IDLE_MARGIN_PERCENT: u32 = 25;
 
+/// Longest time between the end of a connection and a reset behind it.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// Maximum size in bytes of a body for which no memory is reserved.
 const SMALL_REPLY_BYTES: usize = 64 * 1024;
 
@@ -84,6 +87,17 @@
             }
         }
     }
+
+    /// Waits until the write ends; returns whether all was written.
+    async fn finish(&mut self) -> bool {
+        if let RequestWrite::Writing(write) = self {
+            *self = match write.await {
+                Ok(writer) => RequestWrite::Written(writer),
+                Err(_) => RequestWrite::Failed,
+            };
+        }
+        matches!(self, RequestWrite::Written(_))
+    }
 }
 
 /// A connection on which a request was sent, or is being sent, and which
@@ -150,11 +164,41 @@
             limits: self.client.limits,
             reply_memory: self.client.reply_memory.clone(),
             memory: None,
+            is_early: !matches!(self.write, RequestWrite::Written(_)),
             state: BodyState::Open(Box::new(self)),
         };
         Ok(HttpReply { status: head.status, headers: head.headers, body })
     }
 
+    /// Checks that a body which ended with its connection is whole.
+    ///
+    /// A socket reports a reset once. If the write of the request has met it,
+    /// the read finds an ordinary end of the connection. If the response
+    /// began before the request was written, a reset may also follow just
+    /// behind the end.
+    ///
+    /// # Errors
+    ///
+    /// `Truncated` if the connection was reset, `TimedOut` if the request was
+    /// not written by `deadline`.
+    async fn check_close(
+        &mut self,
+        is_early: bool,
+        deadline: Instant,
+    ) -> Result<(), HttpFault> {
+        let wait = deadline.saturating_duration_since(Instant::now());
+        let is_written =
+            monoio::time::timeout(wait, self.write.finish()).await;
+        let is_written = is_written.map_err(|_| HttpFault::TimedOut)?;
+        if is_early {
+            monoio::time::sleep(RESET_DELAY).await;
+        }
+        if is_written && !self.reader.has_error() {
+            return Ok(());
+        }
+        Err(HttpFault::Truncated)
+    }
+
     /// Returns the connection to the pool if it can carry another request.
     ///
     /// Surplus bytes after a response belong to no request.
@@ -257,6 +301,8 @@
     reply_memory: Option<Arc<Semaphore>>,
     /// The memory that is reserved for the body, if it is large.
     memory: Option<OwnedSemaphorePermit>,
+    /// Whether the response began before the request was written.
+    is_early: bool,
 }
 
 impl ReplyBody {
@@ -322,7 +368,12 @@
                 write.run_beside(chunk).await
             }
             BodyLength::UntilClose => {
-                write.run_beside(reader.read_available(deadline)).await
+                let chunk = reader.read_available(deadline);
+                let chunk = write.run_beside(chunk).await?;
+                if chunk.is_none() {
+                    sent.check_close(self.is_early, deadline).await?;
+                }
+                Ok(chunk)
             }
         }
     }
