MIXED: a status that is none of HTTP reached the caller as an answer

Callers saw: status 600 or 999, or 101 with a body, of a worker in trouble, as it came. A status beyond 599 means nothing to a client, and behind 101 the connection speaks another protocol.

Cause: the decoder takes any status of three digits from 100 on, and nothing checked it. Interim responses (1xx) were taken as the answer too, which failed then for the lack of an identity, and cost calls that run once their answer.

Change: where heads of responses are read, which all clients share, 101 and statuses beyond 599 are faults, and up to eight interim responses before an answer are skipped.

--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -36,6 +36,12 @@
 /// connection at any moment.
 const IDLE_MARGIN_PERCENT: u32 = 25;
 
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
+/// The largest status code of HTTP.
+const MAX_STATUS: u16 = 599;
+
 /// Longest time between the end of a connection and a reset behind it.
 const RESET_DELAY: Duration = Duration::from_millis(20);
 
@@ -125,7 +131,8 @@
         SentRequest { client, address, reader, write, closes: false }
     }
 
-    /// Reads the head of the next response.
+    /// Reads the head of the next response. Interim responses before it are
+    /// skipped.
     ///
     /// # Errors
     ///
@@ -135,11 +142,18 @@
         mut self,
         deadline: Instant,
     ) -> Result<HttpReply, HttpFault> {
-        let limits = &self.client.limits;
-        let head =
-            self.reader.read_head(ResponseHeadDecoder, limits, deadline);
-        let head = self.write.run_beside(head).await?;
-        self.into_reply(head)
+        for _ in 0..=MAX_INTERIM_RESPONSES {
+            let limits = &self.client.limits;
+            let head =
+                self.reader.read_head(ResponseHeadDecoder, limits, deadline);
+            let head = self.write.run_beside(head).await?;
+            check_status(head.status)?;
+            if !head.status.is_informational() {
+                return self.into_reply(head);
+            }
+        }
+        let reason = "too many interim responses".to_owned();
+        Err(HttpFault::Malformed { reason })
     }
 
     fn into_reply(
@@ -214,6 +228,17 @@
     }
 }
 
+/// Checks that a status is one of HTTP, and that the connection goes on with
+/// HTTP behind it.
+fn check_status(status: StatusCode) -> Result<(), HttpFault> {
+    let switches = status == StatusCode::SWITCHING_PROTOCOLS;
+    if status.as_u16() <= MAX_STATUS && !switches {
+        return Ok(());
+    }
+    let reason = format!("a response with status {}", status.as_u16());
+    Err(HttpFault::Malformed { reason })
+}
+
 /// Returns whether a response of this status has a body.
 fn has_body(status: StatusCode) -> bool {
     status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -318,3 +318,44 @@
     })
     .unwrap();
 }
+
+/// Starts a server that reads one request, sends `answer` and closes.
+fn answering_server(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]);
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    address
+}
+
+/// What the clients of the store, of other routers and of engines share: none
+/// takes these as an answer.
+#[yare::parameterized(
+    zeros = { "HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\nx" },
+    above_599 = { "HTTP/1.1 600 X\r\nContent-Length: 1\r\n\r\nx" },
+    switch = { "HTTP/1.1 101 X\r\nContent-Length: 1\r\n\r\nx" },
+    blank_in_name = { "HTTP/1.1 200 X\r\nA b: 1\r\nContent-Length: 1\r\n\r\nx" },
+    blank_before_colon = { "HTTP/1.1 200 X\r\nContent-Length : 1\r\n\r\nx" },
+    control_in_name = {
+        "HTTP/1.1 200 X\r\nA\u{2}: 1\r\nContent-Length: 1\r\n\r\nx"
+    },
+    no_length = { "HTTP/1.1 200 X\r\n\r\nx" },
+    interim_only = { "HTTP/1.1 100 X\r\n\r\n" },
+    invalid_trailer = {
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
+         1\r\nx\r\n0\r\nA b: 1\r\n\r\n"
+    },
+)]
+fn an_invalid_answer_is_a_fault(answer: &'static str) {
+    let address = answering_server(answer);
+    let fetched = block_on(async {
+        let request = Request::get("/x").body(Bytes::new()).unwrap();
+        let timeouts = ReplyTimeouts::within(Duration::from_secs(5));
+        HttpClient::new().fetch(address, request, timeouts).await
+    });
+    let fetched = fetched.unwrap();
+    assert!(fetched.is_err(), "{fetched:?}");
+}
