LOST: an idle connection kept the memory of its last body

Callers saw: a process ended for its memory although nothing was in progress. 64 clients that each had sent one body of maxBodyBytes, one after the other, and kept their connections, took 283 MB.

Cause: a body is split off the buffer it was read into, and what is left of that buffer, even if empty, shares its memory. It was held until the next message of the connection; the same on pooled connections to upstreams, by the bodies of answers.

Change: an empty buffer is given back when a request is over, and when a connection returns to the pool.

Evidence: the new test failed before (283 MB, 160 MB are allowed).

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -253,9 +253,18 @@
         }
     }
 
+    /// Frees the memory of the last message, which an empty buffer still
+    /// shares.
+    pub(super) fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Frees the memory of the current request. Bytes of the next one stay
     /// in the buffer.
     pub(super) fn end_lease(&mut self) {
+        self.release_buffer();
         self.lease = None;
         self.body_bytes = 0;
     }
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -216,13 +216,14 @@
     /// Returns the connection to the pool if it can carry another request.
     ///
     /// Surplus bytes after a response belong to no request.
-    fn into_pool(self, idle_timeout: Duration) {
+    fn into_pool(mut self, idle_timeout: Duration) {
         let RequestWrite::Written(writer) = self.write else {
             return;
         };
         if self.closes || self.reader.has_surplus() {
             return;
         }
+        self.reader.release_buffer();
         let connection = HttpConnection { reader: self.reader, writer };
         self.client.put_idle(self.address, connection, idle_timeout);
     }
