Large requests wait in turn for memory in place of a refusal

Callers saw: of a short crowd of sound requests with large bodies all that did not fit into the memory at once were refused, though those before them were served within a tenth of a second.

Cause: each request grew as its bytes arrived, so that many held a part and the newest had to be refused for the rest.

Change: a request above 128 KiB reserves its whole size, and is not read until it has it, in the order in which the requests came, for up to 1 s. The time of its message does not run meanwhile. While one waits, a request with memory that has made no progress for 0.5 s is refused. The kernel holds 64 KiB of a connection that is not read.

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -26,7 +26,7 @@
 };
 
 use super::chunked::{BodyPiece, ChunkedBody};
-use crate::memory::{MemoryLease, MemoryShortage};
+use crate::memory::{MemoryLease, MemoryShortage, SMALL_REQUEST_BYTES};
 
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -47,11 +47,14 @@
 const READ_SIZE: usize = 16 * 1024;
 
 /// Bytes of a body from which memory is allocated for the whole of it.
-const RESERVE_BYTES: usize = 64 * 1024;
+const RESERVE_BYTES: usize = SMALL_REQUEST_BYTES;
 
 /// Size of the kernel's send buffer of a connection.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Size of the kernel's receive buffer of a connection of a caller.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Longest time to write a message to a remote end that reads slowly.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -184,11 +187,23 @@
     Chunked,
 }
 
+/// The socket of an open stream.
+struct StreamSocket(RawFd);
+
+impl StreamSocket {
+    /// Calls `action` with the socket. The stream has to be open.
+    fn with<T>(&self, action: impl FnOnce(&SockRef<'_>) -> T) -> T {
+        // SAFETY: the stream stays open for as long as the borrow lives.
+        let fd = unsafe { BorrowedFd::borrow_raw(self.0) };
+        action(&SockRef::from(&fd))
+    }
+}
+
 /// The read half of a connection, with the bytes that were read ahead.
 pub(super) struct BoundedReader {
     read: OwnedReadHalf<TcpStream>,
-    /// The socket of `read`.
-    descriptor: RawFd,
+    /// The socket of `read`, which is open for as long as that lives.
+    socket: StreamSocket,
     buffer: BytesMut,
     /// Bytes at the start of the buffer that hold no end of a head.
     searched: usize,
@@ -198,6 +213,10 @@
     lease: Option<MemoryLease>,
     /// Bytes of the body of the current request that have left the buffer.
     pub(super) body_bytes: usize,
+    /// The most bytes that the current request may have in the end.
+    most_bytes: usize,
+    /// Time for which the current request has waited for memory.
+    paused: Duration,
 }
 
 /// A TCP connection that carries HTTP/1.1 messages.
@@ -214,20 +233,21 @@
         let _ = stream.set_nodelay(true);
         // Bounds the memory that the kernel uses on this VM for a slow
         // reader.
-        let descriptor = stream.as_raw_fd();
-        // SAFETY: the stream stays open for as long as the borrow lives.
-        let fd = unsafe { BorrowedFd::borrow_raw(descriptor) };
-        let socket = SockRef::from(&fd);
-        let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        let socket = StreamSocket(stream.as_raw_fd());
+        socket.with(|socket| {
+            let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        });
         let (read, writer) = stream.into_split();
         let reader = BoundedReader {
             read,
-            descriptor,
+            socket,
             buffer: BytesMut::new(),
             searched: 0,
             turn_bytes: 0,
             lease: None,
             body_bytes: 0,
+            most_bytes: 0,
+            paused: Duration::ZERO,
         };
         HttpConnection { reader, writer }
     }
@@ -240,9 +260,10 @@
         &mut self,
         lease: MemoryLease,
     ) -> Result<(), HttpFault> {
+        self.end_lease();
         self.lease = Some(lease);
-        self.body_bytes = 0;
-        self.update_lease()
+        self.update_lease()?;
+        Ok(())
     }
 
     /// Records that the current request has been read in full.
@@ -267,6 +288,8 @@
         self.release_buffer();
         self.lease = None;
         self.body_bytes = 0;
+        self.most_bytes = 0;
+        self.paused = Duration::ZERO;
     }
 
     /// Drops everything that was read.
@@ -287,14 +310,26 @@
     }
 
     /// Sets the memory of the current request to the bytes that were read of
-    /// it.
-    fn update_lease(&self) -> Result<(), HttpFault> {
-        match &self.lease {
-            Some(lease) => {
-                Ok(lease.grow(self.buffer.len() + self.body_bytes)?)
-            }
-            None => Ok(()),
-        }
+    /// it; returns `false` if it has to wait.
+    fn update_lease(&self) -> Result<bool, HttpFault> {
+        let Some(lease) = &self.lease else {
+            return Ok(true);
+        };
+        let bytes = self.buffer.len() + self.body_bytes;
+        Ok(lease.try_grow(bytes, self.most_bytes)?)
+    }
+
+    /// Waits until the current request has memory for the rest of it. Nothing
+    /// is read meanwhile.
+    async fn wait_memory(&mut self) -> Result<(), HttpFault> {
+        let Some(lease) = &self.lease else {
+            return Ok(());
+        };
+        let started = Instant::now();
+        let bytes = self.buffer.len() + self.body_bytes;
+        lease.wait_turn(bytes, self.most_bytes).await?;
+        self.paused += started.elapsed();
+        Ok(())
     }
 
     /// Waits for the first byte of the next message.
@@ -339,6 +374,8 @@
     }
 
     async fn fill(&mut self, deadline: Instant) -> Result<(), HttpFault> {
+        // The time of a pause is not that of the remote end.
+        let deadline = deadline + self.paused;
         let wait = deadline.saturating_duration_since(Instant::now());
         let chunk = BytesMut::with_capacity(READ_SIZE);
         let read = monoio::time::timeout(wait, self.read.read(chunk));
@@ -362,7 +399,9 @@
         } else {
             self.buffer.extend_from_slice(&chunk);
         }
-        self.update_lease()?;
+        if !self.update_lease()? {
+            self.wait_memory().await?;
+        }
         if self.turn_bytes >= TURN_BYTES {
             self.turn_bytes = 0;
             monoio::time::sleep(TURN_PAUSE).await;
@@ -424,10 +463,12 @@
             let limit = limits.body_bytes;
             return Err(HttpFault::BodyTooLarge { limit });
         }
+        self.most_bytes = length;
         while self.buffer.len() < length {
             // Growing by doubling would hold up to twice the body. A body of
-            // which little has arrived takes little.
-            if self.buffer.len() >= RESERVE_BYTES || length <= RESERVE_BYTES {
+            // which little has arrived, or that waits for memory, takes
+            // little.
+            if self.buffer.len() > RESERVE_BYTES || length <= RESERVE_BYTES {
                 self.buffer.reserve(length - self.buffer.len());
             }
             self.fill(limits.read_deadline(deadline)).await?;
@@ -479,9 +520,17 @@
     /// Returns whether the connection has met an error that no read or write
     /// has returned.
     pub(super) fn has_error(&self) -> bool {
-        // SAFETY: the socket is open for as long as its read half lives.
-        let fd = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
-        matches!(SockRef::from(&fd).take_error(), Ok(Some(_)))
+        let error = self.socket.with(|socket| socket.take_error());
+        matches!(error, Ok(Some(_)))
+    }
+
+    /// Bounds the memory that the kernel uses for bytes that are not read
+    /// yet.
+    pub(super) fn limit_unread(&self) {
+        // A socket that refuses the option still works.
+        self.socket.with(|socket| {
+            let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        });
     }
 
     /// Returns whether bytes after the last message have been read.
@@ -505,6 +554,7 @@
             }
             BodyLength::Chunked => {}
         }
+        self.most_bytes = limits.body_bytes;
         let mut decoder = ChunkedBody::new();
         let mut body = BytesMut::new();
         loop {
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -79,6 +79,8 @@
         limits: MessageLimits,
         memory: MemoryPool,
     ) -> (RequestReader, HttpResponder) {
+        // A request that waits for memory is not read.
+        self.reader.limit_unread();
         let reader = RequestReader { reader: self.reader, limits, memory };
         let responder = HttpResponder {
             writer: self.writer,
--- a/src/memory/lease.rs
+++ b/src/memory/lease.rs
@@ -4,35 +4,40 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use {snafu::Snafu, tokio::sync::Notify};
 
-use super::RequestMemory;
+use super::{GrowthVerdict, RequestMemory};
+use crate::runtime::sleep;
+
+/// Interval at which a waiting request looks for others that have stalled.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A request cannot be received for lack of memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display(
-    "requests in progress hold {held} of {capacity} bytes of memory"
+    "requests in progress have {committed} of {capacity} bytes of memory"
 ))]
 pub struct MemoryShortage {
-    /// Bytes that all requests hold.
-    pub held: usize,
-    /// Bytes that they may hold.
+    /// Bytes that all requests hold or have reserved.
+    pub committed: usize,
+    /// Bytes that they may have.
     pub capacity: usize,
 }
 
-/// Tells the task of a request that the request was evicted.
+/// Tells the task of a request that the request was evicted, or that it may
+/// have its turn.
 #[derive(Default)]
-struct EvictionSignal {
+struct LeaseSignal {
     is_evicted: Cell<bool>,
-    notify: Notify,
+    wake: Notify,
 }
 
 struct PoolState {
     memory: RefCell<RequestMemory>,
-    signals: RefCell<BTreeMap<u64, Rc<EvictionSignal>>>,
+    signals: RefCell<BTreeMap<u64, Rc<LeaseSignal>>>,
 }
 
 /// The memory of the requests of a process. Clones share it.
@@ -46,7 +51,7 @@
 pub struct MemoryLease {
     pool: MemoryPool,
     id: u64,
-    signal: Rc<EvictionSignal>,
+    signal: Rc<LeaseSignal>,
 }
 
 impl MemoryPool {
@@ -57,45 +62,93 @@
         MemoryPool { state: Rc::new(PoolState { memory, signals }) }
     }
 
-    /// Returns the bytes that all requests hold.
-    pub fn held_bytes(&self) -> usize {
-        self.state.memory.borrow().held_bytes()
+    /// Returns the bytes that all requests hold or have reserved.
+    pub fn committed_bytes(&self) -> usize {
+        self.state.memory.borrow().committed_bytes()
     }
 
     /// Creates the lease of a request that begins to arrive.
     pub fn open(&self) -> MemoryLease {
         let id = self.state.memory.borrow_mut().open(Instant::now());
-        let signal = Rc::<EvictionSignal>::default();
+        let signal = Rc::<LeaseSignal>::default();
         self.state.signals.borrow_mut().insert(id, signal.clone());
         MemoryLease { pool: self.clone(), id, signal }
     }
 
     fn shortage(&self) -> MemoryShortage {
         let memory = self.state.memory.borrow();
-        let (held, capacity) = (memory.held_bytes(), memory.capacity());
-        MemoryShortage { held, capacity }
+        let (committed, capacity) =
+            (memory.committed_bytes(), memory.capacity());
+        MemoryShortage { committed, capacity }
+    }
+
+    /// Wakes the task of a request; an evicted one is told so.
+    fn wake(&self, id: u64, is_evicted: bool) {
+        let signals = self.state.signals.borrow();
+        let Some(signal) = signals.get(&id) else {
+            return;
+        };
+        if is_evicted {
+            signal.is_evicted.set(true);
+        }
+        signal.wake.notify_one();
+    }
+
+    /// Wakes the request that has the first turn.
+    fn wake_first_waiting(&self) {
+        let first = self.state.memory.borrow().first_waiting();
+        if let Some(id) = first {
+            self.wake(id, false);
+        }
     }
 }
 
 impl MemoryLease {
-    /// Sets the bytes that the request holds. Other requests may be evicted
-    /// for them.
+    /// Sets the bytes that have arrived of the request, and the most that it
+    /// may have in the end; returns `false` if it has to wait. Other requests
+    /// may be evicted for it.
     ///
     /// # Errors
     ///
     /// Returns the shortage if the request has to be refused, or, if it has
     /// arrived in full, cannot hold more.
-    pub fn grow(&self, bytes: usize) -> Result<(), MemoryShortage> {
-        let PoolState { memory, signals } = self.pool.state.as_ref();
-        let outcome = memory.borrow_mut().grow(self.id, bytes, Instant::now());
-        let signals = signals.borrow();
-        for id in &outcome.evicted {
-            if let Some(signal) = signals.get(id) {
-                signal.is_evicted.set(true);
-                signal.notify.notify_one();
+    pub fn try_grow(
+        &self,
+        bytes: usize,
+        most: usize,
+    ) -> Result<bool, MemoryShortage> {
+        let mut memory = self.pool.state.memory.borrow_mut();
+        let outcome = memory.grow(self.id, bytes, most, Instant::now());
+        drop(memory);
+        for id in outcome.evicted {
+            self.pool.wake(id, true);
+        }
+        match outcome.verdict {
+            GrowthVerdict::Granted => Ok(true),
+            GrowthVerdict::Waits => Ok(false),
+            GrowthVerdict::Refused => Err(self.pool.shortage()),
+        }
+    }
+
+    /// Waits until the request may go on. The arguments are those of
+    /// [`MemoryLease::try_grow`], which has returned `false`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the shortage if the request has to be refused.
+    pub async fn wait_turn(
+        &self,
+        bytes: usize,
+        most: usize,
+    ) -> Result<(), MemoryShortage> {
+        while !self.try_grow(bytes, most)? {
+            monoio::select! {
+                () = self.signal.wake.notified() => {}
+                () = sleep(CHECK_INTERVAL) => {}
             }
         }
-        if outcome.is_granted { Ok(()) } else { Err(self.pool.shortage()) }
+        self.pool.wake_first_waiting();
+        Ok(())
     }
 
     /// Records that the request has arrived in full. It is not evicted any
@@ -105,16 +158,15 @@
     ///
     /// Returns the shortage if the request was evicted.
     pub fn finish(&self) -> Result<(), MemoryShortage> {
-        if self.pool.state.memory.borrow_mut().finish(self.id) {
-            return Ok(());
-        }
-        Err(self.pool.shortage())
+        let is_held = self.pool.state.memory.borrow_mut().finish(self.id);
+        self.pool.wake_first_waiting();
+        if is_held { Ok(()) } else { Err(self.pool.shortage()) }
     }
 
     /// Waits until the request is evicted, and returns the shortage.
     pub async fn wait_evicted(&self) -> MemoryShortage {
         while !self.signal.is_evicted.get() {
-            self.signal.notify.notified().await;
+            self.signal.wake.notified().await;
         }
         self.pool.shortage()
     }
@@ -125,5 +177,6 @@
         let PoolState { memory, signals } = self.pool.state.as_ref();
         memory.borrow_mut().close(self.id);
         signals.borrow_mut().remove(&self.id);
+        self.pool.wake_first_waiting();
     }
 }
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -1,7 +1,7 @@
 //! Decides which requests may hold memory.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -12,6 +12,9 @@
 /// Time without progress after which an arriving request is stalled.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait of a large request for memory.
+pub const MAX_MEMORY_WAIT: Duration = Duration::from_secs(1);
+
 /// Bytes that count as progress of an arriving request. Fewer would let a
 /// caller hold a large body with a byte now and then.
 const PROGRESS_BYTES: usize = 16 * 1024;
@@ -25,6 +28,8 @@
     /// It is still arriving. It has made progress at `at`, when it held
     /// `bytes` bytes.
     Arriving { at: Instant, bytes: usize },
+    /// It is large and waits for memory for the rest of it.
+    Waiting { since: Instant },
     /// It has arrived, and may have been sent to an upstream.
     Arrived,
 }
@@ -32,17 +37,26 @@
 /// The memory of one request.
 #[derive(Clone, Copy, Debug)]
 struct RequestShare {
+    /// Bytes that have arrived.
     bytes: usize,
+    /// Bytes that are reserved for a large request, at least those that have
+    /// arrived.
+    reserved: Option<usize>,
     stage: RequestStage,
 }
 
 impl RequestShare {
-    fn is_large(&self) -> bool {
-        self.bytes > SMALL_REQUEST_BYTES
+    /// Returns the bytes that no other request can have.
+    fn committed(&self) -> usize {
+        self.reserved.unwrap_or(self.bytes)
     }
 
     fn is_arriving(&self) -> bool {
-        self.stage != RequestStage::Arrived
+        matches!(self.stage, RequestStage::Arriving { .. })
+    }
+
+    fn is_waiting(&self) -> bool {
+        matches!(self.stage, RequestStage::Waiting { .. })
     }
 
     /// Returns the time since when the request has been stalled.
@@ -58,28 +72,43 @@
     }
 }
 
+/// Whether a request may hold the bytes that have arrived of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum GrowthVerdict {
+    /// It may, and may go on.
+    Granted,
+    /// It may, but has to wait for memory before it goes on.
+    Waits,
+    /// It may not. Unless it has arrived it holds nothing any more.
+    #[default]
+    Refused,
+}
+
 /// The result of growing the memory of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GrowthOutcome {
-    /// Whether the request may hold the bytes. If not, it holds nothing any
-    /// more unless it has arrived.
-    pub is_granted: bool,
+    /// Whether the request may hold the bytes.
+    pub verdict: GrowthVerdict,
     /// Other requests that have to be refused and hold nothing any more.
     pub evicted: Vec<u64>,
 }
 
 /// The memory of all requests of a process.
 ///
-/// Large requests leave a quarter of it to small ones. If memory is short,
+/// A request that grows beyond [`SMALL_REQUEST_BYTES`] is large. Its whole
+/// size is reserved then, so that each large request with memory can arrive
+/// in full; the others wait in the order in which they began to arrive, up to
+/// [`MAX_MEMORY_WAIT`]. Meanwhile one with memory that stalls is refused.
+/// Large requests leave a quarter of the memory to small ones, for which
 /// these are refused, in this order:
 ///
 /// 1. large requests that have stalled, the longest stalled one first;
-/// 2. the newest large request that is arriving, which may be the one that
-///    needs memory: older ones then arrive in full;
-/// 3. if a small request needs memory, small ones that have stalled;
-/// 4. the request that needs memory.
+/// 2. the newest large request that waits;
+/// 3. the newest large request that is arriving;
+/// 4. small requests that have stalled;
+/// 5. the request that needs memory.
 ///
-/// A large request may always arrive if no other large one holds memory,
+/// A large request may always arrive if no other large one has memory,
 /// whatever the capacity.
 ///
 /// # Example
@@ -87,20 +116,26 @@
 /// ```
 /// use std::time::Instant;
 ///
-/// use magnoliahaven::memory::RequestMemory;
+/// use magnoliahaven::memory::{GrowthVerdict, RequestMemory};
 ///
 /// let now = Instant::now();
 /// let mut memory = RequestMemory::new(1024 * 1024);
 /// let id = memory.open(now);
-/// assert!(memory.grow(id, 1000, now).is_granted);
-/// assert_eq!(memory.held_bytes(), 1000);
+/// let outcome = memory.grow(id, 1000, 2000, now);
+/// assert_eq!(outcome.verdict, GrowthVerdict::Granted);
+/// assert_eq!(memory.committed_bytes(), 1000);
 /// memory.close(id);
-/// assert_eq!(memory.held_bytes(), 0);
+/// assert_eq!(memory.committed_bytes(), 0);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RequestMemory {
     capacity: usize,
-    held: usize,
+    /// Sum of what the shares have committed.
+    committed: usize,
+    /// Sum of what is reserved for large requests.
+    reserved: usize,
+    /// Large requests that wait.
+    waiting: BTreeSet<u64>,
     /// The shares in the order in which their requests began to arrive.
     shares: BTreeMap<u64, RequestShare>,
     next_id: u64,
@@ -111,7 +146,9 @@
     pub fn new(capacity: usize) -> RequestMemory {
         RequestMemory {
             capacity,
-            held: 0,
+            committed: 0,
+            reserved: 0,
+            waiting: BTreeSet::new(),
             shares: BTreeMap::new(),
             next_id: 0,
         }
@@ -122,9 +159,9 @@
         self.capacity
     }
 
-    /// Returns the bytes that all requests hold.
-    pub fn held_bytes(&self) -> usize {
-        self.held
+    /// Returns the bytes that requests hold or have reserved.
+    pub fn committed_bytes(&self) -> usize {
+        self.committed
     }
 
     /// Adds a request that begins to arrive, and returns its identifier.
@@ -132,11 +169,13 @@
         let id = self.next_id;
         self.next_id += 1;
         let stage = RequestStage::Arriving { at: now, bytes: 0 };
-        self.shares.insert(id, RequestShare { bytes: 0, stage });
+        let share = RequestShare { bytes: 0, reserved: None, stage };
+        self.shares.insert(id, share);
         id
     }
 
-    /// Sets the bytes that a request holds.
+    /// Sets the bytes that have arrived of a request, and the most that it
+    /// may have in the end.
     ///
     /// A request that was evicted gets nothing. One that has arrived evicts
     /// no other one.
@@ -144,60 +183,148 @@
         &mut self,
         id: u64,
         bytes: usize,
+        most: usize,
         now: Instant,
     ) -> GrowthOutcome {
-        let mut outcome = GrowthOutcome::default();
         let Some(share) = self.shares.get(&id).copied() else {
-            return outcome;
+            return GrowthOutcome::default();
         };
-        if !share.is_arriving() {
-            outcome.is_granted =
-                bytes <= share.bytes || self.fits(id, bytes, true);
-            if outcome.is_granted {
-                self.set_bytes(id, bytes);
-            }
-            return outcome;
+        if share.stage == RequestStage::Arrived {
+            return self.grow_arrived(id, bytes);
         }
         self.set_bytes(id, bytes);
+        if bytes > SMALL_REQUEST_BYTES && share.reserved.is_none() {
+            return self.reserve(id, bytes.max(most), now);
+        }
         self.record_progress(id, now);
-        let is_large = bytes > SMALL_REQUEST_BYTES;
-        while !self.fits(id, bytes, is_large) {
-            let victim = self.choose_victim(is_large, now).unwrap_or(id);
+        let mut outcome = GrowthOutcome::default();
+        while self.committed > self.capacity && !self.is_only_large(id) {
+            let victim = self.choose_victim(now).unwrap_or(id);
             self.close(victim);
             if victim == id {
                 return outcome;
             }
             outcome.evicted.push(victim);
         }
-        outcome.is_granted = true;
+        outcome.verdict = GrowthVerdict::Granted;
         outcome
     }
 
     /// Records that a request has arrived in full; returns `false` if it was
     /// evicted.
     pub fn finish(&mut self, id: u64) -> bool {
-        let share = self.shares.get_mut(&id);
-        let Some(share) = share else {
-            return false;
-        };
-        share.stage = RequestStage::Arrived;
-        true
+        self.update(id, |share| {
+            share.stage = RequestStage::Arrived;
+            share.reserved = share.reserved.map(|_| share.bytes);
+        });
+        self.shares.contains_key(&id)
     }
 
     /// Removes a request, which holds nothing any more.
     pub fn close(&mut self, id: u64) {
+        self.waiting.remove(&id);
         if let Some(share) = self.shares.remove(&id) {
-            self.held -= share.bytes;
+            self.committed -= share.committed();
+            self.reserved -= share.reserved.unwrap_or(0);
+        }
+    }
+
+    /// Returns the request that has the first turn when memory becomes free.
+    pub fn first_waiting(&self) -> Option<u64> {
+        self.waiting.first().copied()
+    }
+
+    /// Reserves `bytes` bytes for a large request, or lets it wait.
+    fn reserve(
+        &mut self,
+        id: u64,
+        bytes: usize,
+        now: Instant,
+    ) -> GrowthOutcome {
+        let mut outcome = GrowthOutcome::default();
+        let is_first = self.first_waiting().is_none_or(|first| first >= id);
+        while is_first && !self.fits_large(id, bytes) {
+            let stalled =
+                self.longest_stalled(now, |share| share.reserved.is_some());
+            let Some(victim) = stalled else {
+                break;
+            };
+            self.close(victim);
+            outcome.evicted.push(victim);
         }
+        if is_first && self.fits_large(id, bytes) {
+            self.set_reserved(id, bytes, now);
+            outcome.verdict = GrowthVerdict::Granted;
+            return outcome;
+        }
+        outcome.verdict = self.wait(id, now);
+        outcome
+    }
+
+    /// Lets a request wait; refuses one that has waited for too long.
+    fn wait(&mut self, id: u64, now: Instant) -> GrowthVerdict {
+        let stage = self.shares.get(&id).map(|share| share.stage);
+        let since = match stage {
+            Some(RequestStage::Waiting { since }) => since,
+            _ => now,
+        };
+        let has_room = self.committed <= self.capacity;
+        if has_room && now.duration_since(since) < MAX_MEMORY_WAIT {
+            let stage = RequestStage::Waiting { since };
+            self.update(id, |share| share.stage = stage);
+            return GrowthVerdict::Waits;
+        }
+        self.close(id);
+        GrowthVerdict::Refused
+    }
+
+    fn grow_arrived(&mut self, id: u64, bytes: usize) -> GrowthOutcome {
+        let mut outcome = GrowthOutcome::default();
+        let Some(share) = self.shares.get_mut(&id) else {
+            return outcome;
+        };
+        let more = bytes.saturating_sub(share.bytes);
+        if self.committed + more > self.large_capacity() {
+            return outcome;
+        }
+        self.set_bytes(id, bytes);
+        outcome.verdict = GrowthVerdict::Granted;
+        outcome
     }
 
     fn set_bytes(&mut self, id: u64, bytes: usize) {
-        if let Some(share) = self.shares.get_mut(&id) {
-            self.held = self.held - share.bytes + bytes;
+        self.update(id, |share| {
             share.bytes = bytes;
+            share.reserved =
+                share.reserved.map(|reserved| reserved.max(bytes));
+        });
+    }
+
+    /// Changes a share, and the sums over all shares with it.
+    fn update(&mut self, id: u64, change: impl FnOnce(&mut RequestShare)) {
+        let Some(share) = self.shares.get_mut(&id) else {
+            return;
+        };
+        self.committed -= share.committed();
+        self.reserved -= share.reserved.unwrap_or(0);
+        change(share);
+        self.committed += share.committed();
+        self.reserved += share.reserved.unwrap_or(0);
+        if share.is_waiting() {
+            self.waiting.insert(id);
+        } else {
+            self.waiting.remove(&id);
         }
     }
 
+    fn set_reserved(&mut self, id: u64, reserved: usize, now: Instant) {
+        self.update(id, |share| {
+            share.reserved = Some(reserved);
+            let bytes = share.bytes;
+            share.stage = RequestStage::Arriving { at: now, bytes };
+        });
+    }
+
     fn record_progress(&mut self, id: u64, now: Instant) {
         let Some(share) = self.shares.get_mut(&id) else {
             return;
@@ -210,30 +337,39 @@
         }
     }
 
-    /// Returns whether a request may hold `bytes` bytes beside the others.
-    fn fits(&self, id: u64, bytes: usize, is_large: bool) -> bool {
+    /// Returns the bytes that large requests may have together.
+    fn large_capacity(&self) -> usize {
+        self.capacity - self.capacity / SMALL_RESERVE_DIVISOR
+    }
+
+    /// Returns whether a request that has none may have `bytes` bytes
+    /// reserved.
+    fn fits_large(&self, id: u64, bytes: usize) -> bool {
         let own = self.shares.get(&id).map_or(0, |share| share.bytes);
-        let total = self.held - own + bytes;
-        if !is_large {
-            return total <= self.capacity;
-        }
-        let reserve = self.capacity / SMALL_RESERVE_DIVISOR;
-        total <= self.capacity - reserve || !self.has_other_large(id)
+        let fits = self.reserved + bytes <= self.large_capacity()
+            && self.committed - own + bytes <= self.capacity;
+        fits || self.reserved == 0
     }
 
-    fn has_other_large(&self, id: u64) -> bool {
-        let mut shares = self.shares.iter();
-        shares.any(|(other, share)| *other != id && share.is_large())
+    /// Returns whether a request is the only one with memory reserved.
+    fn is_only_large(&self, id: u64) -> bool {
+        let share = self.shares.get(&id);
+        let own = share.and_then(|share| share.reserved);
+        own.is_some_and(|own| own == self.reserved)
     }
 
-    /// Returns the request to refuse so that another one gets memory.
-    fn choose_victim(&self, for_large: bool, now: Instant) -> Option<u64> {
-        let stalled = self.longest_stalled(now, RequestShare::is_large);
-        let victim = stalled.or_else(|| self.newest_large());
-        if for_large {
-            return victim;
-        }
-        victim.or_else(|| self.longest_stalled(now, |_| true))
+    /// Returns the request to refuse so that a small one gets memory.
+    fn choose_victim(&self, now: Instant) -> Option<u64> {
+        let stalled =
+            self.longest_stalled(now, |share| share.reserved.is_some());
+        stalled
+            .or_else(|| self.newest(RequestShare::is_waiting))
+            .or_else(|| {
+                self.newest(|share| {
+                    share.is_arriving() && share.reserved.is_some()
+                })
+            })
+            .or_else(|| self.longest_stalled(now, |_| true))
     }
 
     fn longest_stalled(
@@ -254,10 +390,12 @@
         longest.map(|(_, id)| id)
     }
 
-    fn newest_large(&self) -> Option<u64> {
+    fn newest(
+        &self,
+        is_eligible: impl Fn(&RequestShare) -> bool,
+    ) -> Option<u64> {
         let mut shares = self.shares.iter().rev();
-        let large =
-            shares.find(|(_, share)| share.is_arriving() && share.is_large());
-        large.map(|(id, _)| *id)
+        let newest = shares.find(|(_, share)| is_eligible(share));
+        newest.map(|(id, _)| *id)
     }
 }
--- a/src/process/life.rs
+++ b/src/process/life.rs
@@ -52,10 +52,10 @@
 }
 
 impl ProcessView<'_> {
-    /// Sets the metric of the memory that requests hold.
+    /// Sets the metric of the memory that requests have.
     pub(super) fn note_memory(&self) {
-        let held = self.memory.held_bytes();
-        self.metrics.request_bytes.set(held as i64);
+        let committed = self.memory.committed_bytes();
+        self.metrics.request_bytes.set(committed as i64);
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -34,7 +34,7 @@
     events: IntCounterVec,
     /// Bytes held in memory for slow readers.
     pub held_bytes: IntGauge,
-    /// Bytes that the requests of callers hold.
+    /// Bytes that the requests of callers hold or have reserved.
     pub request_bytes: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
@@ -132,7 +132,7 @@
             ),
             request_bytes: gauge(
                 "magnolia_request_bytes",
-                "Bytes that the requests of callers hold in memory.",
+                "Bytes that the requests of callers hold or have reserved.",
             ),
             connections: gauge(
                 "magnolia_connections",
