--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -46,6 +46,10 @@
 /// Size in bytes of the buffer of one read.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Size in bytes of the buffer of the first read of a message, which an idle
+/// connection holds.
+const IDLE_READ_SIZE: usize = 4 * 1024;
+
 /// Bytes of a body from which memory is allocated for the whole of it.
 const RESERVE_BYTES: usize = SMALL_REQUEST_BYTES;
 
@@ -345,7 +349,7 @@
         if !self.buffer.is_empty() {
             return Ok(());
         }
-        match self.fill(Instant::now() + idle).await {
+        match self.fill_with(IDLE_READ_SIZE, Instant::now() + idle).await {
             Err(HttpFault::Truncated) => Err(HttpFault::Closed),
             other => other,
         }
@@ -374,10 +378,19 @@
     }
 
     async fn fill(&mut self, deadline: Instant) -> Result<(), HttpFault> {
+        self.fill_with(READ_SIZE, deadline).await
+    }
+
+    /// Reads up to `size` bytes into the buffer.
+    async fn fill_with(
+        &mut self,
+        size: usize,
+        deadline: Instant,
+    ) -> Result<(), HttpFault> {
         // The time of a pause is not that of the remote end.
         let deadline = deadline + self.paused;
         let wait = deadline.saturating_duration_since(Instant::now());
-        let chunk = BytesMut::with_capacity(READ_SIZE);
+        let chunk = BytesMut::with_capacity(size);
         let read = monoio::time::timeout(wait, self.read.read(chunk));
         let read = match &self.lease {
             None => read.await,
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -90,7 +90,8 @@
 ) -> bool {
     let ProcessView { load, .. } = core.view();
     let _load = RequestLoad::new(load);
-    let served = core.serve_call(request, reader, responder);
+    // An idle connection has no room for the state of a request.
+    let served = Box::pin(core.serve_call(request, reader, responder));
     if let Some(is_usable) = catch_panic("request", served).await {
         return is_usable;
     }
--- a/src/runtime/task.rs
+++ b/src/runtime/task.rs
@@ -58,6 +58,8 @@
 
 /// Spawns a task that ends alone if it panics.
 pub fn spawn(task: &'static str, future: impl Future<Output = ()> + 'static) {
+    // Each future that wraps another one by value holds it once more.
+    let future = Box::pin(future);
     monoio::spawn(async move {
         catch_panic(task, future).await;
     });
