A body of the largest size in one chunk was refused as too large

Callers saw: a 413 for a legal request whose body, of exactly maxBodyBytes in one chunk, arrived up to the first byte of the line end behind it.

Cause: the limit of a chunk was compared with the bytes in the buffer, which has the line end too.

Change: the line end does not count.

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -28,6 +28,9 @@
 use super::chunked::{BodyPiece, ChunkedBody};
 use crate::memory::{MemoryLease, MemoryShortage, SMALL_REQUEST_BYTES};
 
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -505,9 +508,9 @@
                 BodyPiece::End => return Ok(None),
                 BodyPiece::Incomplete => {}
             }
-            // The decoder waits for a whole chunk in the buffer, whatever
-            // size the chunk declares.
-            if self.buffer.len() > limits.body_bytes {
+            // The decoder waits for a whole chunk and the line end behind it
+            // in the buffer, whatever size the chunk declares.
+            if self.buffer.len() > limits.body_bytes + LINE_END.len() {
                 let limit = limits.body_bytes;
                 return Err(HttpFault::BodyTooLarge { limit });
             }
