--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -59,8 +59,12 @@
 /// Size of the kernel's send buffer of a connection.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Size of the kernel's receive buffer of a connection of a caller.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the kernel's receive buffer of a connection of a caller. All
+/// connections may fill theirs at the same time.
+pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
+/// The same while a large body is read. Few are at a time.
+const LARGE_RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
 
 /// Longest time to write a message to a remote end that reads slowly.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -224,6 +228,8 @@
     most_bytes: usize,
     /// Time for which the current request has waited for memory.
     paused: Duration,
+    /// Whether the kernel may hold more of the current request.
+    is_wide: bool,
 }
 
 /// A TCP connection that carries HTTP/1.1 messages.
@@ -255,6 +261,7 @@
             body_bytes: 0,
             most_bytes: 0,
             paused: Duration::ZERO,
+            is_wide: false,
         };
         HttpConnection { reader, writer }
     }
@@ -276,7 +283,7 @@
     /// Records that the current request has been read in full.
     pub(super) fn finish_lease(&self) -> Result<(), HttpFault> {
         match &self.lease {
-            Some(lease) => Ok(lease.finish()?),
+            Some(lease) => Ok(lease.finish(self.read_bytes())?),
             None => Ok(()),
         }
     }
@@ -299,6 +306,14 @@
         self.paused = Duration::ZERO;
     }
 
+    /// Lets the kernel hold little again. Bytes on their way are lost for a
+    /// time if the remote end is still sending.
+    pub(super) fn narrow_unread(&mut self) {
+        if std::mem::take(&mut self.is_wide) {
+            self.limit_unread(RECEIVE_BUFFER_BYTES);
+        }
+    }
+
     /// Drops everything that was read.
     pub(super) fn discard(&mut self) {
         self.buffer = BytesMut::new();
@@ -317,15 +332,20 @@
     }
 
     /// Sets the memory of the current request to the bytes that were read of
-    /// it; returns `false` if it has to wait.
+    /// it and the buffer of a read; returns `false` if it has to wait.
     fn update_lease(&self) -> Result<bool, HttpFault> {
         let Some(lease) = &self.lease else {
             return Ok(true);
         };
-        let bytes = self.buffer.len() + self.body_bytes;
+        let bytes = self.read_bytes() + READ_SIZE;
         Ok(lease.try_grow(bytes, self.most_bytes)?)
     }
 
+    /// Returns the bytes that were read of the current request.
+    fn read_bytes(&self) -> usize {
+        self.buffer.len() + self.body_bytes
+    }
+
     /// Waits until the current request has memory for the rest of it. Nothing
     /// is read meanwhile.
     async fn wait_memory(&mut self) -> Result<(), HttpFault> {
@@ -333,7 +353,7 @@
             return Ok(());
         };
         let started = Instant::now();
-        let bytes = self.buffer.len() + self.body_bytes;
+        let bytes = self.read_bytes() + READ_SIZE;
         lease.wait_turn(bytes, self.most_bytes).await?;
         self.paused += started.elapsed();
         Ok(())
@@ -468,6 +488,16 @@
         }
     }
 
+    /// Lets the kernel hold more of a large request, which has memory.
+    fn widen_unread(&mut self) {
+        let bytes = self.read_bytes();
+        if self.lease.is_none() || self.is_wide || bytes <= RESERVE_BYTES {
+            return;
+        }
+        self.is_wide = true;
+        self.limit_unread(LARGE_RECEIVE_BUFFER_BYTES);
+    }
+
     /// Reads a body of known length.
     pub(super) async fn read_fixed(
         &mut self,
@@ -479,13 +509,14 @@
             let limit = limits.body_bytes;
             return Err(HttpFault::BodyTooLarge { limit });
         }
-        self.most_bytes = length;
+        self.most_bytes = length + READ_SIZE;
         while self.buffer.len() < length {
             // Growing by doubling would hold up to twice the body. A body of
             // which little has arrived, or that waits for memory, takes
             // little.
             if self.buffer.len() > RESERVE_BYTES || length <= RESERVE_BYTES {
                 self.buffer.reserve(length - self.buffer.len());
+                self.widen_unread();
             }
             self.fill(limits.read_deadline(deadline)).await?;
         }
@@ -540,12 +571,11 @@
         matches!(error, Ok(Some(_)))
     }
 
-    /// Bounds the memory that the kernel uses for bytes that are not read
-    /// yet.
-    pub(super) fn limit_unread(&self) {
+    /// Bounds the bytes that the kernel holds until they are read.
+    pub(super) fn limit_unread(&self, bytes: usize) {
         // A socket that refuses the option still works.
         self.socket.with(|socket| {
-            let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+            let _ = socket.set_recv_buffer_size(bytes);
         });
     }
 
@@ -570,7 +600,7 @@
             }
             BodyLength::Chunked => {}
         }
-        self.most_bytes = limits.body_bytes;
+        self.most_bytes = limits.body_bytes + READ_SIZE;
         let mut decoder = ChunkedBody::new();
         let mut body = BytesMut::new();
         loop {
@@ -584,6 +614,7 @@
             }
             body.extend_from_slice(&chunk);
             self.body_bytes = body.len();
+            self.widen_unread();
             if chunk.len() >= RESERVE_BYTES {
                 // The buffer shares the memory of the chunk.
                 self.buffer = BytesMut::from(&self.buffer[..]);
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -17,7 +17,9 @@
 pub use self::{
     accept::{accept_until, request_error},
     client::{HttpClient, ReplyTimeouts},
-    connection::{HttpConnection, HttpFault, MessageLimits},
+    connection::{
+        HttpConnection, HttpFault, MessageLimits, RECEIVE_BUFFER_BYTES,
+    },
     encode::{error_response, json_response, text_response},
     reply::{HttpReply, ReplyBody, SentRequest},
     server::{HttpRequest, HttpResponder, RequestReader, StreamWriter},
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -14,7 +14,9 @@
 
 use super::{
     HttpConnection, HttpFault, MessageLimits,
-    connection::{BoundedReader, body_length, write_all},
+    connection::{
+        BoundedReader, RECEIVE_BUFFER_BYTES, body_length, write_all,
+    },
     encode::{LAST_CHUNK, encode_stream_head, payload_of, write_message},
 };
 use crate::memory::MemoryPool;
@@ -22,6 +24,9 @@
 /// Longest time for which the rest of a refused request is read.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of refused requests whose rest is read at the same time.
+const MAX_DRAINS: usize = 64;
+
 /// Maximum number of bytes of a refused request that are read and dropped.
 const MAX_DRAIN_BYTES: usize = 32 * 1024 * 1024;
 
@@ -79,8 +84,7 @@
         limits: MessageLimits,
         memory: MemoryPool,
     ) -> (RequestReader, HttpResponder) {
-        // A request that waits for memory is not read.
-        self.reader.limit_unread();
+        self.reader.limit_unread(RECEIVE_BUFFER_BYTES);
         let reader = RequestReader { reader: self.reader, limits, memory };
         let responder = HttpResponder {
             writer: self.writer,
@@ -151,6 +155,7 @@
     /// Frees the memory of a request that is over.
     pub fn end_request(&mut self) {
         self.reader.end_lease();
+        self.reader.narrow_unread();
     }
 
     /// Ends a connection whose last request was refused before it had arrived
@@ -162,6 +167,11 @@
     pub async fn end_connection(&mut self, responder: &mut HttpResponder) {
         // The caller may be gone already.
         let _ = responder.writer.shutdown().await;
+        let drains = &self.memory.drains;
+        if drains.get() >= MAX_DRAINS {
+            return;
+        }
+        let _drain = drains.start();
         let deadline = Instant::now() + DRAIN_TIMEOUT;
         self.reader.drain(MAX_DRAIN_BYTES, deadline).await;
     }
--- a/src/memory/lease.rs
+++ b/src/memory/lease.rs
@@ -10,7 +10,7 @@
 use {snafu::Snafu, tokio::sync::Notify};
 
 use super::{GrowthVerdict, RequestMemory};
-use crate::runtime::sleep;
+use crate::runtime::{InFlightCount, sleep};
 
 /// Interval at which a waiting request looks for others that have stalled.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -44,6 +44,8 @@
 #[derive(Clone)]
 pub struct MemoryPool {
     state: Rc<PoolState>,
+    /// Refused requests of which the rest is read and dropped.
+    pub(crate) drains: InFlightCount,
 }
 
 /// The memory of one request, which is free again when this value is
@@ -59,7 +61,8 @@
     pub fn new(capacity: usize) -> MemoryPool {
         let memory = RefCell::new(RequestMemory::new(capacity));
         let signals = RefCell::default();
-        MemoryPool { state: Rc::new(PoolState { memory, signals }) }
+        let state = Rc::new(PoolState { memory, signals });
+        MemoryPool { state, drains: InFlightCount::new() }
     }
 
     /// Returns the bytes that all requests hold or have reserved.
@@ -151,14 +154,16 @@
         Ok(())
     }
 
-    /// Records that the request has arrived in full. It is not evicted any
-    /// more.
+    /// Records that the request has arrived in full and holds `bytes` bytes.
+    /// It is not evicted any more.
     ///
     /// # Errors
     ///
     /// Returns the shortage if the request was evicted.
-    pub fn finish(&self) -> Result<(), MemoryShortage> {
-        let is_held = self.pool.state.memory.borrow_mut().finish(self.id);
+    pub fn finish(&self, bytes: usize) -> Result<(), MemoryShortage> {
+        let mut memory = self.pool.state.memory.borrow_mut();
+        let is_held = memory.finish(self.id, bytes);
+        drop(memory);
         self.pool.wake_first_waiting();
         if is_held { Ok(()) } else { Err(self.pool.shortage()) }
     }
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -28,10 +28,12 @@
     /// It is still arriving. It has made progress at `at`, when it held
     /// `bytes` bytes.
     Arriving { at: Instant, bytes: usize },
-    /// It is large and waits for memory for the rest of it.
+    /// It waits for memory for the rest of it.
     Waiting { since: Instant },
     /// It has arrived, and may have been sent to an upstream.
     Arrived,
+    /// It is refused, and holds its memory until it is closed.
+    Evicted,
 }
 
 /// The memory of one request.
@@ -51,6 +53,12 @@
         self.reserved.unwrap_or(self.bytes)
     }
 
+    /// Returns the committed bytes if the request was evicted.
+    fn evicted(&self) -> usize {
+        let is_evicted = self.stage == RequestStage::Evicted;
+        if is_evicted { self.committed() } else { 0 }
+    }
+
     fn is_arriving(&self) -> bool {
         matches!(self.stage, RequestStage::Arriving { .. })
     }
@@ -79,7 +87,7 @@
     Granted,
     /// It may, but has to wait for memory before it goes on.
     Waits,
-    /// It may not. Unless it has arrived it holds nothing any more.
+    /// It may not. Unless it has arrived it has to be closed.
     #[default]
     Refused,
 }
@@ -89,7 +97,8 @@
 pub struct GrowthOutcome {
     /// Whether the request may hold the bytes.
     pub verdict: GrowthVerdict,
-    /// Other requests that have to be refused and hold nothing any more.
+    /// Other requests that have to be refused. Their memory is free once they
+    /// are closed.
     pub evicted: Vec<u64>,
 }
 
@@ -132,6 +141,8 @@
     capacity: usize,
     /// Sum of what the shares have committed.
     committed: usize,
+    /// Sum of what evicted requests have committed.
+    evicted: usize,
     /// Sum of what is reserved for large requests.
     reserved: usize,
     /// Large requests that wait.
@@ -147,6 +158,7 @@
         RequestMemory {
             capacity,
             committed: 0,
+            evicted: 0,
             reserved: 0,
             waiting: BTreeSet::new(),
             shares: BTreeMap::new(),
@@ -159,7 +171,8 @@
         self.capacity
     }
 
-    /// Returns the bytes that requests hold or have reserved.
+    /// Returns the bytes that requests hold or have reserved, evicted ones
+    /// that are not closed included.
     pub fn committed_bytes(&self) -> usize {
         self.committed
     }
@@ -189,8 +202,10 @@
         let Some(share) = self.shares.get(&id).copied() else {
             return GrowthOutcome::default();
         };
-        if share.stage == RequestStage::Arrived {
-            return self.grow_arrived(id, bytes);
+        match share.stage {
+            RequestStage::Arrived => return self.grow_arrived(id, bytes),
+            RequestStage::Evicted => return GrowthOutcome::default(),
+            _ => {}
         }
         self.set_bytes(id, bytes);
         if bytes > SMALL_REQUEST_BYTES && share.reserved.is_none() {
@@ -198,35 +213,55 @@
         }
         self.record_progress(id, now);
         let mut outcome = GrowthOutcome::default();
-        while self.committed > self.capacity && !self.is_only_large(id) {
+        let is_only_large = self.is_only_large(id);
+        while self.committed - self.evicted > self.capacity && !is_only_large {
             let victim = self.choose_victim(now).unwrap_or(id);
-            self.close(victim);
+            self.evict(victim);
             if victim == id {
                 return outcome;
             }
             outcome.evicted.push(victim);
         }
+        // The memory of evicted requests is not free yet.
+        if self.committed > self.capacity && !is_only_large {
+            outcome.verdict = self.wait(id, now);
+            return outcome;
+        }
+        self.end_wait(id, now);
         outcome.verdict = GrowthVerdict::Granted;
         outcome
     }
 
-    /// Records that a request has arrived in full; returns `false` if it was
-    /// evicted.
-    pub fn finish(&mut self, id: u64) -> bool {
+    /// Records that a request has arrived in full and holds `bytes` bytes;
+    /// returns `false` if it was evicted.
+    pub fn finish(&mut self, id: u64, bytes: usize) -> bool {
+        let stage = self.shares.get(&id).map(|share| share.stage);
+        if matches!(stage, None | Some(RequestStage::Evicted)) {
+            return false;
+        }
         self.update(id, |share| {
             share.stage = RequestStage::Arrived;
-            share.reserved = share.reserved.map(|_| share.bytes);
+            share.bytes = bytes;
+            share.reserved = share.reserved.map(|_| bytes);
         });
-        self.shares.contains_key(&id)
+        true
     }
 
     /// Removes a request, which holds nothing any more.
     pub fn close(&mut self, id: u64) {
-        self.waiting.remove(&id);
-        if let Some(share) = self.shares.remove(&id) {
-            self.committed -= share.committed();
-            self.reserved -= share.reserved.unwrap_or(0);
-        }
+        self.update(id, |share| {
+            *share = RequestShare {
+                bytes: 0,
+                reserved: None,
+                stage: RequestStage::Evicted,
+            };
+        });
+        self.shares.remove(&id);
+    }
+
+    /// Refuses a request that is arriving. Its memory is not free yet.
+    fn evict(&mut self, id: u64) {
+        self.update(id, |share| share.stage = RequestStage::Evicted);
     }
 
     /// Returns the request that has the first turn when memory becomes free.
@@ -243,14 +278,16 @@
     ) -> GrowthOutcome {
         let mut outcome = GrowthOutcome::default();
         let is_first = self.first_waiting().is_none_or(|first| first >= id);
-        while is_first && !self.fits_large(id, bytes) {
+        let needs_room = is_first && !self.fits_large(id, bytes);
+        // One after the other: the memory of one is not free before it is
+        // closed.
+        if needs_room && self.evicted == 0 {
             let stalled =
                 self.longest_stalled(now, |share| share.reserved.is_some());
-            let Some(victim) = stalled else {
-                break;
-            };
-            self.close(victim);
-            outcome.evicted.push(victim);
+            if let Some(victim) = stalled {
+                self.evict(victim);
+                outcome.evicted.push(victim);
+            }
         }
         if is_first && self.fits_large(id, bytes) {
             self.set_reserved(id, bytes, now);
@@ -268,16 +305,26 @@
             Some(RequestStage::Waiting { since }) => since,
             _ => now,
         };
-        let has_room = self.committed <= self.capacity;
+        let has_room = self.committed - self.evicted <= self.capacity;
         if has_room && now.duration_since(since) < MAX_MEMORY_WAIT {
             let stage = RequestStage::Waiting { since };
             self.update(id, |share| share.stage = stage);
             return GrowthVerdict::Waits;
         }
-        self.close(id);
+        self.evict(id);
         GrowthVerdict::Refused
     }
 
+    /// Lets a request that waited go on.
+    fn end_wait(&mut self, id: u64, now: Instant) {
+        self.update(id, |share| {
+            if share.is_waiting() {
+                let bytes = share.bytes;
+                share.stage = RequestStage::Arriving { at: now, bytes };
+            }
+        });
+    }
+
     fn grow_arrived(&mut self, id: u64, bytes: usize) -> GrowthOutcome {
         let mut outcome = GrowthOutcome::default();
         let Some(share) = self.shares.get_mut(&id) else {
@@ -306,9 +353,11 @@
             return;
         };
         self.committed -= share.committed();
+        self.evicted -= share.evicted();
         self.reserved -= share.reserved.unwrap_or(0);
         change(share);
         self.committed += share.committed();
+        self.evicted += share.evicted();
         self.reserved += share.reserved.unwrap_or(0);
         if share.is_waiting() {
             self.waiting.insert(id);
@@ -363,7 +412,11 @@
         let stalled =
             self.longest_stalled(now, |share| share.reserved.is_some());
         stalled
-            .or_else(|| self.newest(RequestShare::is_waiting))
+            .or_else(|| {
+                self.newest(|share| {
+                    share.is_waiting() && share.bytes > SMALL_REQUEST_BYTES
+                })
+            })
             .or_else(|| {
                 self.newest(|share| {
                     share.is_arriving() && share.reserved.is_some()
--- a/src/process/listen.rs
+++ b/src/process/listen.rs
@@ -18,7 +18,8 @@
 use crate::{
     adapters::http::{
         HttpConnection, HttpFault, HttpRequest, HttpResponder, MessageLimits,
-        RequestReader, accept_until, error_response, request_error,
+        RECEIVE_BUFFER_BYTES, RequestReader, accept_until, error_response,
+        request_error,
     },
     memory::MemoryPool,
     runtime::spawn,
@@ -78,7 +79,9 @@
 /// address in the settings of one process would cause errors in requests to
 /// the other.
 pub(crate) fn bind_exclusive(address: SocketAddr) -> io::Result<TcpListener> {
-    let options = ListenerOpts::new().reuse_port(false);
+    let options = ListenerOpts::new()
+        .reuse_port(false)
+        .recv_buf_size(RECEIVE_BUFFER_BYTES);
     TcpListener::bind_with_config(address, &options)
 }
 
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -72,19 +72,25 @@
         let Some(held) = self.arriving.get(&id) else {
             return GrowthVerdict::Refused;
         };
-        let outcome = self.memory.grow(id, *held, LARGE, self.now);
-        for evicted in outcome.evicted {
-            self.refuse(evicted);
-        }
+        let held = *held;
         self.waiting.remove(&id);
-        match outcome.verdict {
-            GrowthVerdict::Granted => {}
-            GrowthVerdict::Waits => {
-                self.waiting.insert(id);
+        loop {
+            let outcome = self.memory.grow(id, held, LARGE, self.now);
+            let has_evicted = !outcome.evicted.is_empty();
+            for evicted in outcome.evicted {
+                self.refuse(evicted);
+            }
+            match outcome.verdict {
+                GrowthVerdict::Granted => {}
+                // The evicted ones have given their memory back.
+                GrowthVerdict::Waits if has_evicted => continue,
+                GrowthVerdict::Waits => {
+                    self.waiting.insert(id);
+                }
+                GrowthVerdict::Refused => self.refuse(id),
             }
-            GrowthVerdict::Refused => self.refuse(id),
+            return outcome.verdict;
         }
-        outcome.verdict
     }
 
     /// Lets all that wait ask again, as they do at intervals.
@@ -95,6 +101,7 @@
     }
 
     fn refuse(&mut self, id: u64) {
+        self.memory.close(id);
         self.arriving.remove(&id);
         self.waiting.remove(&id);
         self.refused.push(id);
@@ -126,8 +133,8 @@
     }
 
     fn finish(&mut self, id: u64) {
-        assert!(self.memory.finish(id));
-        self.arriving.remove(&id);
+        let held = self.arriving.remove(&id).expect("request");
+        assert!(self.memory.finish(id, held));
     }
 
     fn pass(&mut self, time: Duration) {
@@ -279,6 +286,35 @@
     assert!(arrived * 10 >= possible * 8, "{arrived} of {possible}");
 }
 
+/// Memory of a request that was evicted is not free before its task has given
+/// it back. Whoever needs it waits for that.
+#[test]
+fn memory_of_an_evicted_request_is_used_once_it_is_free() {
+    let now = Instant::now();
+    let mut memory = RequestMemory::new(CAPACITY);
+    let large: Vec<u64> = (0..LARGE_FIT).map(|_| memory.open(now)).collect();
+    for id in &large {
+        memory.grow(*id, LARGE, LARGE, now);
+    }
+    let mut granted = 0;
+    let (id, outcome) = loop {
+        let id = memory.open(now);
+        let outcome = memory.grow(id, ORDINARY, ORDINARY, now);
+        if outcome.verdict != GrowthVerdict::Granted {
+            break (id, outcome);
+        }
+        granted += 1;
+    };
+    assert!(granted >= CAPACITY / 4 / ORDINARY, "{granted}");
+    assert_eq!(outcome.verdict, GrowthVerdict::Waits);
+    assert_eq!(outcome.evicted, large[LARGE_FIT - 1..]);
+    let outcome = memory.grow(id, ORDINARY, ORDINARY, now);
+    assert_eq!(outcome.verdict, GrowthVerdict::Waits);
+    memory.close(large[LARGE_FIT - 1]);
+    let outcome = memory.grow(id, ORDINARY, ORDINARY, now);
+    assert_eq!(outcome.verdict, GrowthVerdict::Granted);
+}
+
 /// The load: many heads that do not end.
 #[test]
 fn a_small_request_is_served_beside_stalled_heads() {
