Memory of large bodies goes back to the system when it is free

Cause: the allocator raises the size from which a block is a mapping of its own with each such block that is freed. Bodies then come from the heap, and what is free between small blocks there stays with the process.

Change: the size is set, to 128 KiB.

--- a/src/runtime/launch.rs
+++ b/src/runtime/launch.rs
@@ -20,6 +20,10 @@
 /// Exit code if the process ended before everything was settled.
 pub const EXIT_UNSETTLED: u8 = 4;
 
+/// Size in bytes from which a block of memory is large.
+#[cfg(target_env = "gnu")]
+const LARGE_BLOCK_BYTES: libc::c_int = 128 * 1024;
+
 /// Smallest memory of a VM in bytes.
 const MIN_MEMORY_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -43,11 +47,27 @@
     size.ok_or_else(|| "expected at least 16MiB (B, KiB, MiB, MB)".to_owned())
 }
 
+/// Lets the allocator return each large block to the system as soon as it is
+/// free.
+///
+/// By default the size from which it does so rises with the blocks that are
+/// freed. Bodies would then share the heap with small blocks, and what is
+/// free between those would stay with the process.
+fn return_large_blocks() {
+    #[cfg(target_env = "gnu")]
+    // SAFETY: the call changes a setting of the allocator, and no other
+    // thread runs yet.
+    unsafe {
+        libc::mallopt(libc::M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+    }
+}
+
 /// Reads the settings, sets up logging and runs a process.
 pub fn launch<F: Future<Output = ExitCode>>(
     options: &LaunchOptions,
     run: impl FnOnce(RouterSettings) -> F,
 ) -> ExitCode {
+    return_large_blocks();
     let settings = match RouterSettings::load(&options.settings) {
         Ok(settings) => settings,
         Err(faults) => {
