A body in chunks under the largest declared limit ended its connection

Cause: the size that is reserved for a body in chunks is the limit, and sums of it overflowed.

Change: no more than the memory for large requests is reserved ahead, and the sums saturate.

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -509,7 +509,7 @@
             let limit = limits.body_bytes;
             return Err(HttpFault::BodyTooLarge { limit });
         }
-        self.most_bytes = length + READ_SIZE;
+        self.most_bytes = length.saturating_add(READ_SIZE);
         while self.buffer.len() < length {
             // Growing by doubling would hold up to twice the body. A body of
             // which little has arrived, or that waits for memory, takes
@@ -541,7 +541,9 @@
             }
             // The decoder waits for a whole chunk and the line end behind it
             // in the buffer, whatever size the chunk declares.
-            if self.buffer.len() > limits.body_bytes + LINE_END.len() {
+            if self.buffer.len()
+                > limits.body_bytes.saturating_add(LINE_END.len())
+            {
                 let limit = limits.body_bytes;
                 return Err(HttpFault::BodyTooLarge { limit });
             }
@@ -600,7 +602,7 @@
             }
             BodyLength::Chunked => {}
         }
-        self.most_bytes = limits.body_bytes + READ_SIZE;
+        self.most_bytes = limits.body_bytes.saturating_add(READ_SIZE);
         let mut decoder = ChunkedBody::new();
         let mut body = BytesMut::new();
         loop {
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -209,6 +209,7 @@
         }
         self.set_bytes(id, bytes);
         if bytes > SMALL_REQUEST_BYTES && share.reserved.is_none() {
+            let most = most.min(self.large_capacity());
             return self.reserve(id, bytes.max(most), now);
         }
         self.record_progress(id, now);
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -335,6 +335,20 @@
     assert!(crowd.waiting.is_empty());
 }
 
+/// The most that a request may have can be any number.
+#[test]
+fn a_request_of_any_size_reserves_what_there_is() {
+    let now = Instant::now();
+    let mut memory = RequestMemory::new(CAPACITY);
+    let id = memory.open(now);
+    let outcome = memory.grow(id, LARGE, usize::MAX, now);
+    assert_eq!(outcome.verdict, GrowthVerdict::Granted);
+    assert!(memory.committed_bytes() <= CAPACITY);
+    let other = memory.open(now);
+    let outcome = memory.grow(other, ORDINARY, usize::MAX, now);
+    assert_eq!(outcome.verdict, GrowthVerdict::Granted);
+}
+
 #[test]
 fn a_request_that_has_arrived_is_never_evicted() {
     let mut crowd = Crowd::new();
