--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -5,7 +5,7 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use super::{
@@ -34,6 +34,9 @@
     timer::TimerService,
 };
 
+/// Interval at which connections to upstreams that stay idle are closed.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A gateway process. `S` is its state: starting, serving or leaving.
 pub type GatewayProcess<S> = ServerProcess<GatewayCore, S>;
 
@@ -71,6 +74,7 @@
         self.start_listener(Some(addresses.operators), ListenerRole::Metrics)?;
         self.start_listener(addresses.entry, ListenerRole::Entry)?;
         self.start_listener(addresses.readiness, ListenerRole::Readiness)?;
+        run_forever("idle_connections", &core, close_expired);
         run_forever("catalog", &core, follow::run_catalog);
         run_forever("confirmation", &core, confirm::run_confirmation);
         run_forever("announcement", &core, spread::run_announcement);
@@ -135,6 +139,15 @@
     }
 }
 
+/// Closes connections to upstreams that stay idle, for example because their
+/// upstream has left. Never returns.
+async fn close_expired(core: Rc<GatewayCore>) {
+    loop {
+        core.timer.sleep(IDLE_CHECK_INTERVAL).await;
+        core.ports.upstreams.close_expired();
+    }
+}
+
 /// Spawns a loop over shared state.
 fn run_forever<T: 'static, F: Future<Output = ()>>(
     task: &'static str,
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -78,4 +78,7 @@
 
     /// Closes the idle connections to an upstream that no longer answers.
     fn close_idle(&self, address: SocketAddr);
+
+    /// Closes the idle connections whose idle timeout has passed.
+    fn close_expired(&self);
 }
