--- a/src/domain/bounds.rs
+++ b/src/domain/bounds.rs
@@ -15,6 +15,9 @@
 /// Largest number of requests that an upstream serves at the same time.
 pub const MAX_SLOTS: u32 = 1 << 16;
 
+/// Largest number of registrations of an upstream since its start.
+pub const MAX_SEQUENCE: u64 = 1 << 32;
+
 /// Converts milliseconds to a time of at most [`MAX_TIME`].
 pub fn time_from_ms(ms: u64) -> Duration {
     Duration::from_millis(ms).min(MAX_TIME)
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -13,8 +13,8 @@
 
 pub use self::{
     bounds::{
-        MAX_SLOTS, MAX_TIME, MAX_TOKENS, saturating_sum, time_from_ms,
-        time_from_secs,
+        MAX_SEQUENCE, MAX_SLOTS, MAX_TIME, MAX_TOKENS, saturating_sum,
+        time_from_ms, time_from_secs,
     },
     ids::{
         BillId, BudgetName, HolderId, ParseBillIdError, PortionId, account_of,
