--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    os::fd::{AsRawFd, BorrowedFd, RawFd},
     time::{Duration, Instant},
 };
 
@@ -22,10 +21,12 @@
     monoio_codec::{Decoded, Decoder},
     monoio_http::h1::codec::decoder::DecodeError,
     snafu::Snafu,
-    socket2::SockRef,
 };
 
-use super::chunked::{BodyPiece, ChunkedBody};
+use super::{
+    chunked::{BodyPiece, ChunkedBody},
+    socket::StreamSocket,
+};
 use crate::memory::{MemoryLease, MemoryShortage, SMALL_REQUEST_BYTES};
 
 /// The end of a line.
@@ -47,24 +48,14 @@
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
 /// Size in bytes of the buffer of one read.
-const READ_SIZE: usize = 16 * 1024;
+pub(super) const READ_SIZE: usize = 16 * 1024;
 
 /// Size in bytes of the buffer of the first read of a message, which an idle
 /// connection holds.
 const IDLE_READ_SIZE: usize = 4 * 1024;
 
 /// Bytes of a body from which memory is allocated for the whole of it.
-const RESERVE_BYTES: usize = SMALL_REQUEST_BYTES;
-
-/// Size of the kernel's send buffer of a connection.
-const SEND_BUFFER_BYTES: usize = 64 * 1024;
-
-/// Size of the kernel's receive buffer of a connection of a caller. All
-/// connections may fill theirs at the same time.
-pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
-
-/// The same while a large body is read. Few are at a time.
-const LARGE_RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+pub(super) const RESERVE_BYTES: usize = SMALL_REQUEST_BYTES;
 
 /// Longest time to write a message to a remote end that reads slowly.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -198,38 +189,26 @@
     Chunked,
 }
 
-/// The socket of an open stream.
-struct StreamSocket(RawFd);
-
-impl StreamSocket {
-    /// Calls `action` with the socket. The stream has to be open.
-    fn with<T>(&self, action: impl FnOnce(&SockRef<'_>) -> T) -> T {
-        // SAFETY: the stream stays open for as long as the borrow lives.
-        let fd = unsafe { BorrowedFd::borrow_raw(self.0) };
-        action(&SockRef::from(&fd))
-    }
-}
-
 /// The read half of a connection, with the bytes that were read ahead.
 pub(super) struct BoundedReader {
     read: OwnedReadHalf<TcpStream>,
     /// The socket of `read`, which is open for as long as that lives.
-    socket: StreamSocket,
-    buffer: BytesMut,
+    pub(super) socket: StreamSocket,
+    pub(super) buffer: BytesMut,
     /// Bytes at the start of the buffer that hold no end of a head.
-    searched: usize,
+    pub(super) searched: usize,
     /// Bytes read in this turn.
     turn_bytes: usize,
     /// The memory of the current request, if there is one.
-    lease: Option<MemoryLease>,
+    pub(super) lease: Option<MemoryLease>,
     /// Bytes of the body of the current request that have left the buffer.
     pub(super) body_bytes: usize,
     /// The most bytes that the current request may have in the end.
-    most_bytes: usize,
+    pub(super) most_bytes: usize,
     /// Time for which the current request has waited for memory.
-    paused: Duration,
+    pub(super) paused: Duration,
     /// Whether the kernel may hold more of the current request.
-    is_wide: bool,
+    pub(super) is_wide: bool,
 }
 
 /// A TCP connection that carries HTTP/1.1 messages.
@@ -246,10 +225,8 @@
         let _ = stream.set_nodelay(true);
         // Bounds the memory that the kernel uses on this VM for a slow
         // reader.
-        let socket = StreamSocket(stream.as_raw_fd());
-        socket.with(|socket| {
-            let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
-        });
+        let socket = StreamSocket::new(&stream);
+        socket.limit_unsent();
         let (read, writer) = stream.into_split();
         let reader = BoundedReader {
             read,
@@ -268,97 +245,6 @@
 }
 
 impl BoundedReader {
-    /// Sets the memory of the request that begins with the bytes in the
-    /// buffer.
-    pub(super) fn begin_lease(
-        &mut self,
-        lease: MemoryLease,
-    ) -> Result<(), HttpFault> {
-        self.end_lease();
-        self.lease = Some(lease);
-        self.update_lease()?;
-        Ok(())
-    }
-
-    /// Records that the current request has been read in full.
-    pub(super) fn finish_lease(&self) -> Result<(), HttpFault> {
-        match &self.lease {
-            Some(lease) => Ok(lease.finish(self.read_bytes())?),
-            None => Ok(()),
-        }
-    }
-
-    /// Frees the memory of the last message, which an empty buffer still
-    /// shares.
-    pub(super) fn release_buffer(&mut self) {
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
-        }
-    }
-
-    /// Frees the memory of the current request. Bytes of the next one stay
-    /// in the buffer.
-    pub(super) fn end_lease(&mut self) {
-        self.release_buffer();
-        self.lease = None;
-        self.body_bytes = 0;
-        self.most_bytes = 0;
-        self.paused = Duration::ZERO;
-    }
-
-    /// Lets the kernel hold little again. Bytes on their way are lost for a
-    /// time if the remote end is still sending.
-    pub(super) fn narrow_unread(&mut self) {
-        if std::mem::take(&mut self.is_wide) {
-            self.limit_unread(RECEIVE_BUFFER_BYTES);
-        }
-    }
-
-    /// Drops everything that was read.
-    pub(super) fn discard(&mut self) {
-        self.buffer = BytesMut::new();
-        self.searched = 0;
-        self.end_lease();
-    }
-
-    /// Reads and drops bytes until the remote end closes the connection, at
-    /// most `bytes` bytes and until `deadline`.
-    pub(super) async fn drain(&mut self, bytes: usize, deadline: Instant) {
-        let mut drained = 0;
-        while drained < bytes && self.fill(deadline).await.is_ok() {
-            drained += self.buffer.len();
-            self.buffer.clear();
-        }
-    }
-
-    /// Sets the memory of the current request to the bytes that were read of
-    /// it and the buffer of a read; returns `false` if it has to wait.
-    fn update_lease(&self) -> Result<bool, HttpFault> {
-        let Some(lease) = &self.lease else {
-            return Ok(true);
-        };
-        let bytes = self.read_bytes() + READ_SIZE;
-        Ok(lease.try_grow(bytes, self.most_bytes)?)
-    }
-
-    /// Returns the bytes that were read of the current request.
-    fn read_bytes(&self) -> usize {
-        self.buffer.len() + self.body_bytes
-    }
-
-    /// Waits until the current request has memory for the rest of it. Nothing
-    /// is read meanwhile.
-    async fn wait_memory(&mut self) -> Result<(), HttpFault> {
-        let Some(lease) = &self.lease else {
-            return Ok(());
-        };
-        let started = Instant::now();
-        let bytes = self.read_bytes() + READ_SIZE;
-        lease.wait_turn(bytes, self.most_bytes).await?;
-        self.paused += started.elapsed();
-        Ok(())
-    }
-
     /// Waits for the first byte of the next message.
     ///
     /// # Errors
@@ -400,7 +286,10 @@
         }
     }
 
-    async fn fill(&mut self, deadline: Instant) -> Result<(), HttpFault> {
+    pub(super) async fn fill(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<(), HttpFault> {
         self.fill_with(READ_SIZE, deadline).await
     }
 
@@ -488,16 +377,6 @@
         }
     }
 
-    /// Lets the kernel hold more of a large request, which has memory.
-    fn widen_unread(&mut self) {
-        let bytes = self.read_bytes();
-        if self.lease.is_none() || self.is_wide || bytes <= RESERVE_BYTES {
-            return;
-        }
-        self.is_wide = true;
-        self.limit_unread(LARGE_RECEIVE_BUFFER_BYTES);
-    }
-
     /// Reads a body of known length.
     pub(super) async fn read_fixed(
         &mut self,
@@ -566,21 +445,6 @@
         Ok(Some(self.buffer.split().freeze()))
     }
 
-    /// Returns whether the connection has met an error that no read or write
-    /// has returned.
-    pub(super) fn has_error(&self) -> bool {
-        let error = self.socket.with(|socket| socket.take_error());
-        matches!(error, Ok(Some(_)))
-    }
-
-    /// Bounds the bytes that the kernel holds until they are read.
-    pub(super) fn limit_unread(&self, bytes: usize) {
-        // A socket that refuses the option still works.
-        self.socket.with(|socket| {
-            let _ = socket.set_recv_buffer_size(bytes);
-        });
-    }
-
     /// Returns whether bytes after the last message have been read.
     pub(super) fn has_surplus(&self) -> bool {
         !self.buffer.is_empty()
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -207,7 +207,7 @@
         if is_early {
             monoio::time::sleep(RESET_DELAY).await;
         }
-        if is_written && !self.reader.has_error() {
+        if is_written && !self.reader.socket.has_error() {
             return Ok(());
         }
         Err(HttpFault::Truncated)
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -13,10 +13,8 @@
 };
 
 use super::{
-    HttpConnection, HttpFault, MessageLimits,
-    connection::{
-        BoundedReader, RECEIVE_BUFFER_BYTES, body_length, write_all,
-    },
+    HttpConnection, HttpFault, MessageLimits, RECEIVE_BUFFER_BYTES,
+    connection::{BoundedReader, body_length, write_all},
     encode::{LAST_CHUNK, encode_stream_head, payload_of, write_message},
 };
 use crate::memory::MemoryPool;
@@ -84,7 +82,7 @@
         limits: MessageLimits,
         memory: MemoryPool,
     ) -> (RequestReader, HttpResponder) {
-        self.reader.limit_unread(RECEIVE_BUFFER_BYTES);
+        self.reader.socket.limit_unread(RECEIVE_BUFFER_BYTES);
         let reader = RequestReader { reader: self.reader, limits, memory };
         let responder = HttpResponder {
             writer: self.writer,
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -5,8 +5,8 @@
     time::{Duration, Instant},
 };
 
-/// Largest size in bytes of a small request, head included. A part of the
-/// memory is kept for small requests.
+/// Largest size in bytes of a small request, with its head and the buffer of
+/// a read. A part of the memory is kept for small requests.
 pub const SMALL_REQUEST_BYTES: usize = 128 * 1024;
 
 /// Time without progress after which an arriving request is stalled.
@@ -145,7 +145,7 @@
     evicted: usize,
     /// Sum of what is reserved for large requests.
     reserved: usize,
-    /// Large requests that wait.
+    /// Requests that wait.
     waiting: BTreeSet<u64>,
     /// The shares in the order in which their requests began to arrive.
     shares: BTreeMap<u64, RequestShare>,
