Log and count the calls between VMs that fail

A play in which all connections between VMs went silent could not be told from one in which the VMs were down: a failed call to another router left no line and no figure. The only trace was peer_dead, seconds later.

peer_lost names the first call to a router that failed since it answered last, with its reason: silent (an open connection on which nothing came meanwhile), late (something else came), unopened, broken or rejected; and the time since anything came. peer_regained follows. magnolia_peer_calls_failed_total counts failed calls by call and reason.

The adapter is split by job for it: the thread, calls out, calls in, the wire form, the connection, and what is known of a peer.

--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -12,6 +12,17 @@
 mod generated;
 
 mod convert;
+mod encode;
+mod fault;
+mod health;
 mod link;
+mod outbound;
+mod server;
+mod stream;
+mod thread;
 
-pub use self::link::{InboundCall, PeerClient, PeerThread, ProcessSignal};
+pub use self::thread::{InboundCall, PeerClient, PeerThread, ProcessSignal};
+
+/// Maximum size of a message of a peer in bytes. The largest message is one
+/// with a control state.
+const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -57,6 +57,7 @@
         let link = listen(settings.listen.peers, PeerThread::start)?;
         let ports = make_ports(&settings, Rc::new(link.client));
         let core = Rc::new(build_core(settings, ports));
+        core.metrics.add_peers(&link.metrics);
         let link =
             ProcessChannels { signals: link.signals, inbound: link.inbound };
         Ok(ServerProcess::with_core(core, link))
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -278,6 +278,26 @@
     Claim(ClaimRequest),
 }
 
+impl PeerCall {
+    /// Returns the name of the call, for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            PeerCall::Lend(_) => "lend",
+            PeerCall::Relay(_) => "relay",
+            PeerCall::Ping(_) => "ping",
+            PeerCall::PingOther { .. } => "ping_other",
+            PeerCall::CatchUp(_) => "catch_up",
+            PeerCall::Evidence(_) => "evidence",
+            PeerCall::Departures => "departures",
+            PeerCall::Declared { .. } => "declared",
+            PeerCall::Parts(_) => "parts",
+            PeerCall::Limits(_) => "limits",
+            PeerCall::Allowances(_) => "allowances",
+            PeerCall::Claim(_) => "claim",
+        }
+    }
+}
+
 /// The answer to a [`PeerCall`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerAnswer {
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -70,6 +70,7 @@
         };
         let (leave, operators) = mpsc::channel(4);
         let core = Rc::new(build_core(settings, ports, leave));
+        core.metrics.add_peers(&link.metrics);
         let signals = merge_signals(link.signals, operators);
         let link = ProcessChannels { signals, inbound: link.inbound };
         Ok(ServerProcess::with_core(core, link))
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -147,6 +147,11 @@
     RevisionApplied = "revision_applied" ["revision", "who"];
     /// The list of entry VMs has changed.
     VmListChanged = "vm_list_changed" ["vms", "version", "doubted"];
+    /// Another router does not answer calls. `silent_ms` after the connection
+    /// to it received something last.
+    PeerLost = "peer_lost" ["address", "call", "reason", "silent_ms"];
+    /// It answers calls again.
+    PeerRegained = "peer_regained" ["address", "lost_ms", "failed_calls"];
     /// Another router is believed dead.
     PeerDead = "peer_dead" ["peer"];
     /// Tokens came from a peer.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,6 +7,7 @@
     Opts, Registry, TextEncoder,
 };
 
+use super::PeerMetrics;
 use crate::runtime::panic_count;
 
 /// Client accounts with label values of their own. Further ones share the
@@ -226,6 +227,11 @@
         }
     }
 
+    /// Adds the metrics of the calls to other routers; used once.
+    pub fn add_peers(&self, peers: &PeerMetrics) {
+        peers.register(&self.registry);
+    }
+
     /// The label value of a client account.
     fn label<'a>(&self, account: &'a str) -> &'a str {
         let mut accounts = self.accounts.borrow_mut();
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod logging;
 mod metrics;
+mod peers;
 mod pipe;
 mod quota;
 mod records;
@@ -18,6 +19,7 @@
     events::{COMMON_FIELDS, LineFault, LogEvent, check_line},
     logging::{LogContext, flush_logging, init_logging},
     metrics::RouterMetrics,
+    peers::PeerMetrics,
     pipe::LogPipe,
     quota::{LineKind, LineQuota},
     records::note_unreadable,
