BUDGET: connections between VMs that went silent stayed in use for good

Cause: each VM kept one connection to each other one for ever and used it again after a call on it had timed out. When the open connections went silent, every call between VMs failed from then on, and with it all that VMs tell each other. The report of a crash is sent once, to all others, and was lost.

Change: a connection that receives nothing for 250 ms while a call waits for its peer is replaced (1.5 s for a call with a large answer). The old one stays in use until the new one is open, and calls under way end on it: a slow peer or a congested link loses nothing. An idempotent call is sent again on the new one and accepts either answer; loans and probes are not, as their callers have remedies of their own. A peer that answers nothing gets a new connection each two seconds at most. A repeated report of a rate limit says how old it is by then. Connections to VMs that are not called for ten minutes are closed.

Why it works: the first call on a silent connection finds out, whatever the reason of the silence, and is not lost itself.

--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -15,13 +15,18 @@
 mod encode;
 mod fault;
 mod health;
+mod limits;
 mod link;
 mod outbound;
+mod pace;
 mod server;
 mod stream;
 mod thread;
 
-pub use self::thread::{InboundCall, PeerClient, PeerThread, ProcessSignal};
+pub use self::{
+    pace::ReplacementPace,
+    thread::{InboundCall, PeerClient, PeerThread, ProcessSignal},
+};
 
 /// Maximum size of a message of a peer in bytes. The largest message is one
 /// with a control state.
--- a/src/adapters/peer/outbound.rs
+++ b/src/adapters/peer/outbound.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -10,33 +11,65 @@
 use {tokio::sync::mpsc, tonic::Status};
 
 use super::{
-    encode::send_call, fault::CallFault, link::LinkSlot, thread::OutboundCall,
+    encode::send_call,
+    fault::CallFault,
+    limits::CallLimits,
+    link::{LinkSlot, PeerLink},
+    thread::OutboundCall,
 };
 use crate::{
     ports::{PeerAnswer, PeerCall, PeerFault},
     telemetry::PeerMetrics,
 };
 
-/// Timeout of a call to a peer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without calls after which a connection may be closed. Peers that are
+/// gone are not called any more.
+const IDLE_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Timeout of a call that a router makes when it gets no answers from the
-/// platform. The cause may be congestion of its own link, on which answers
-/// are late.
-const CONGESTED_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A slot and when it was used last.
+struct UsedSlot {
+    slot: Arc<LinkSlot>,
+    used_at: Instant,
+}
+
+/// The slots of all peers.
+struct SlotTable {
+    slots: BTreeMap<SocketAddr, UsedSlot>,
+    metrics: PeerMetrics,
+}
 
-/// Timeout of a call whose answer is large.
-const LARGE_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+impl SlotTable {
+    fn new(metrics: PeerMetrics) -> SlotTable {
+        SlotTable { slots: BTreeMap::new(), metrics }
+    }
+
+    /// Returns the slot of a peer. A new one takes the place of those that
+    /// are not used any more.
+    fn slot(&mut self, peer: SocketAddr) -> Result<Arc<LinkSlot>, Status> {
+        let now = Instant::now();
+        if let Some(used) = self.slots.get_mut(&peer) {
+            used.used_at = now;
+            return Ok(used.slot.clone());
+        }
+        self.slots.retain(|_, used| {
+            now.saturating_duration_since(used.used_at) < IDLE_LIFETIME
+        });
+        let slot = Arc::new(LinkSlot::new(peer, self.metrics.clone())?);
+        let used = UsedSlot { slot: slot.clone(), used_at: now };
+        self.slots.insert(peer, used);
+        Ok(slot)
+    }
+}
 
 /// Makes the calls that arrive on the channel, each in a task of its own.
 pub(super) async fn run_outbound(
     mut calls: mpsc::Receiver<OutboundCall>,
     metrics: PeerMetrics,
 ) {
-    let mut slots = BTreeMap::new();
+    let mut table = SlotTable::new(metrics);
     while let Some(outbound) = calls.recv().await {
         let OutboundCall { peer, call, answer } = outbound;
-        let slot = match slot_of(&mut slots, peer) {
+        let slot = match table.slot(peer) {
             Ok(slot) => slot,
             Err(status) => {
                 let fault = PeerFault::from(CallFault::from(status));
@@ -44,54 +77,84 @@
                 continue;
             }
         };
-        let metrics = metrics.clone();
         tokio::spawn(async move {
             let name = call.name();
             let reply = call_peer(&slot, call).await;
             slot.record_end(name, &reply);
-            if let Err(fault) = &reply {
-                metrics.record_failed_call(name, fault.name());
-            }
             // Fails only if the caller has stopped waiting.
             let _ = answer.send(reply.map_err(PeerFault::from));
         });
     }
 }
 
-fn slot_of(
-    slots: &mut BTreeMap<SocketAddr, Arc<LinkSlot>>,
-    peer: SocketAddr,
-) -> Result<Arc<LinkSlot>, Status> {
-    if let Some(slot) = slots.get(&peer) {
-        return Ok(slot.clone());
-    }
-    let slot = Arc::new(LinkSlot::new(peer)?);
-    slots.insert(peer, slot.clone());
-    Ok(slot)
-}
-
-/// Makes a call and waits for its answer within its timeout.
+/// Makes a call and waits for its answer.
+///
+/// If the connection is silent, it is replaced, and the call is sent again on
+/// the new one if it is idempotent. An answer to either is accepted.
 async fn call_peer(
-    slot: &LinkSlot,
+    slot: &Arc<LinkSlot>,
     call: PeerCall,
 ) -> Result<PeerAnswer, CallFault> {
-    let sent_at = Instant::now();
-    let timeout = call_timeout(&call);
+    let limits = CallLimits::of(&call);
     let link = slot.link();
-    let send = send_call(link.channel(), call);
-    match tokio::time::timeout(timeout, send).await {
-        Ok(answer) => answer.map_err(CallFault::from),
-        Err(_) => Err(link.timeout_fault(sent_at)),
+    let sent_at = Instant::now();
+    let mut timeout = pin!(tokio::time::sleep(limits.timeout));
+    let mut first = pin!(send_call(link.channel(), call.clone()));
+    tokio::select! {
+        biased;
+        answer = &mut first => return answer.map_err(CallFault::from),
+        () = wait_for_silence(&link, sent_at, limits) => {}
+        () = link.wait_unopened(limits.open_timeout) => {
+            return Err(CallFault::Unopened);
+        }
+        () = &mut timeout => {
+            let fault = link.timeout_fault(sent_at);
+            if limits.silence.is_none() || fault != CallFault::Silent {
+                return Err(fault);
+            }
+        }
+    }
+    slot.replace(&link);
+    let mut second = pin!(async {
+        match limits.is_repeated {
+            true => repeat_call(slot, &link, call, sent_at).await,
+            false => std::future::pending().await,
+        }
+    });
+    let mut first_fault = None;
+    loop {
+        tokio::select! {
+            answer = &mut first, if first_fault.is_none() => match answer {
+                Ok(answer) => return Ok(answer),
+                Err(status) => first_fault = Some(CallFault::from(status)),
+            },
+            answer = &mut second => return answer.map_err(CallFault::from),
+            () = &mut timeout => break,
+        }
     }
+    Err(first_fault.unwrap_or_else(|| link.timeout_fault(sent_at)))
 }
 
-/// Returns the timeout of a call.
-fn call_timeout(call: &PeerCall) -> Duration {
-    match call {
-        PeerCall::Declared { text_after: Some(_), .. } => LARGE_ANSWER_TIMEOUT,
-        PeerCall::Declared { text_after: None, .. } | PeerCall::Departures => {
-            CONGESTED_CALL_TIMEOUT
-        }
-        _ => CALL_TIMEOUT,
+/// Waits until the connection of a call is taken to be silent.
+async fn wait_for_silence(
+    link: &PeerLink,
+    sent_at: Instant,
+    limits: CallLimits,
+) {
+    match limits.silence {
+        Some(time) => link.wait_for_silence(sent_at, time).await,
+        None => std::future::pending().await,
     }
 }
+
+/// Sends a call on the connection that replaces a silent one.
+async fn repeat_call(
+    slot: &LinkSlot,
+    silent: &PeerLink,
+    call: PeerCall,
+    sent_at: Instant,
+) -> Result<PeerAnswer, Status> {
+    let link = slot.replacement(silent).await;
+    let call = call.with_delay(sent_at.elapsed());
+    send_call(link.channel(), call).await
+}
--- a/src/adapters/peer/stream.rs
+++ b/src/adapters/peer/stream.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Records that the connection is not open any more.
+    pub(super) fn record_close(&self) {
+        self.received_us.store(0, Ordering::Relaxed);
+    }
+
     /// Records that the connection was opened or has received something.
     fn record(&self) {
         let us = self.created_at.elapsed().as_micros() as u64;
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -296,6 +296,16 @@
             PeerCall::Claim(_) => "claim",
         }
     }
+
+    /// Returns the call as it has to be sent a time later.
+    pub fn with_delay(mut self, delay: Duration) -> PeerCall {
+        if let PeerCall::Limits(observations) = &mut self {
+            for observation in observations {
+                observation.age += delay;
+            }
+        }
+        self
+    }
 }
 
 /// The answer to a [`PeerCall`].
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -152,6 +152,9 @@
     PeerLost = "peer_lost" ["address", "call", "reason", "silent_ms"];
     /// It answers calls again.
     PeerRegained = "peer_regained" ["address", "lost_ms", "failed_calls"];
+    /// A connection to another router that received nothing for `silent_ms`
+    /// was replaced by a new one.
+    LinkReplaced = "link_replaced" ["address", "silent_ms"];
     /// Another router is believed dead.
     PeerDead = "peer_dead" ["peer"];
     /// Tokens came from a peer.
--- a/src/telemetry/peers.rs
+++ b/src/telemetry/peers.rs
@@ -1,6 +1,6 @@
 //! Metrics of the calls to other routers.
 
-use prometheus::{IntCounterVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
 
 /// Counts what happens to the calls to other routers.
 ///
@@ -9,6 +9,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerMetrics {
     failed_calls: IntCounterVec,
+    replaced_links: IntCounter,
 }
 
 impl PeerMetrics {
@@ -24,7 +25,14 @@
         );
         let labels = &["call", "reason"];
         let failed_calls = IntCounterVec::new(failed_calls, labels);
-        PeerMetrics { failed_calls: failed_calls.expect("valid counter") }
+        let replaced_links = IntCounter::new(
+            "magnolia_peer_links_replaced_total",
+            "Silent connections to other routers that were replaced.",
+        );
+        PeerMetrics {
+            failed_calls: failed_calls.expect("valid counter"),
+            replaced_links: replaced_links.expect("valid counter"),
+        }
     }
 
     /// Counts a call that has failed, by its name and that of the reason.
@@ -36,11 +44,18 @@
         self.failed_calls.with_label_values(&[call, reason]).inc();
     }
 
+    /// Counts a silent connection that was replaced.
+    pub fn record_replaced_link(&self) {
+        self.replaced_links.inc();
+    }
+
     /// Adds the counters to a registry.
     pub(super) fn register(&self, registry: &Registry) {
         let failed_calls = Box::new(self.failed_calls.clone());
+        let replaced_links = Box::new(self.replaced_links.clone());
         // Each name is used once.
         registry.register(failed_calls).expect("distinct name");
+        registry.register(replaced_links).expect("distinct name");
     }
 }
 
--- a/standins/src/fleet/relay.rs
+++ b/standins/src/fleet/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can be cut.
+//! A TCP relay that can be cut, and whose connections can go silent.
 
 use std::{
     io::{self, Read, Write},
@@ -23,7 +23,14 @@
     /// Milliseconds by which all that passes is late.
     delay_ms: AtomicU64,
     bytes: AtomicU64,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<Vec<RelayedConnection>>,
+}
+
+/// A connection through the relay.
+struct RelayedConnection {
+    streams: [TcpStream; 2],
+    /// What arrives is dropped, and neither side learns of the other's end.
+    is_silent: Arc<AtomicBool>,
 }
 
 /// Forwards connections to one address until it is cut.
@@ -42,7 +49,19 @@
     ///
     /// The error of the socket if no port can be had.
     pub fn start(target: SocketAddr) -> io::Result<CutRelay> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        CutRelay::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target)
+    }
+
+    /// Starts a relay to `target` that listens at `listen`.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket if the address cannot be had.
+    pub fn start_at(
+        listen: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<CutRelay> {
+        let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let state = Arc::new(RelayState::default());
         let accepting = state.clone();
@@ -83,9 +102,30 @@
         self.state.answers_cut.store(false, Ordering::SeqCst);
         self.slow(Duration::ZERO);
         // No code panics while it holds the lock.
-        for stream in self.state.open.lock().expect("open").drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
+        for connection in self.state.open.lock().expect("open").drain(..) {
+            for stream in &connection.streams {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Makes the connections that are open now silent for good, while new
+    /// ones work; returns their number.
+    pub fn silence(&self) -> usize {
+        // No code panics while it holds the lock.
+        let open = self.state.open.lock().expect("open");
+        let mut count = 0;
+        for connection in open.iter() {
+            let was_silent = connection.is_silent.swap(true, Ordering::SeqCst);
+            count += usize::from(!was_silent);
         }
+        count
+    }
+
+    /// Connections opened so far.
+    pub fn connections(&self) -> usize {
+        // No code panics while it holds the lock.
+        self.state.open.lock().expect("open").len()
     }
 
     /// Bytes forwarded so far, in both directions.
@@ -111,17 +151,18 @@
     let (Ok(from), Ok(to), Ok(keep), Ok(keep_upstream)) = halves else {
         return;
     };
-    {
-        // No code panics while it holds the lock.
-        let mut open = state.open.lock().expect("open");
-        open.push(keep);
-        open.push(keep_upstream);
-    }
-    let back = state.clone();
-    thread::spawn(move || copy(to, from, &back, &back.answers_cut));
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let connection = RelayedConnection {
+        streams: [keep, keep_upstream],
+        is_silent: is_silent.clone(),
+    };
+    // No code panics while it holds the lock.
+    state.open.lock().expect("open").push(connection);
+    let (back, silent) = (state.clone(), is_silent.clone());
+    thread::spawn(move || copy(to, from, &back, &back.answers_cut, &silent));
     let halves = (stream.try_clone(), upstream.try_clone());
     if let (Ok(from), Ok(to)) = halves {
-        copy(from, to, state, &state.cut);
+        copy(from, to, state, &state.cut, &is_silent);
     }
 }
 
@@ -137,6 +178,7 @@
     mut to: TcpStream,
     state: &RelayState,
     cut: &AtomicBool,
+    is_silent: &AtomicBool,
 ) {
     let mut buffer = vec![0; COPY_BYTES];
     loop {
@@ -147,10 +189,15 @@
         let delay_ms = state.delay_ms.load(Ordering::SeqCst);
         thread::sleep(Duration::from_millis(delay_ms));
         wait_while(cut);
+        if is_silent.load(Ordering::SeqCst) {
+            continue;
+        }
         state.bytes.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&buffer[..count]).is_err() {
             break;
         }
     }
-    let _ = to.shutdown(Shutdown::Write);
+    if !is_silent.load(Ordering::SeqCst) {
+        let _ = to.shutdown(Shutdown::Write);
+    }
 }
