RECOVER: accepted connections of VMs that went silent stayed open for good

A VM that replaces a silent connection closes its own end. The other end never learns of it: one descriptor more for each other VM and each silence, until the VM takes no connection of callers any more. A VM that lost power left its connections at all others in the same way before.

Cause: nothing looked at an accepted connection that carries nothing.

Change: one that received nothing for 10 s is probed with an HTTP/2 ping, and closed if no answer comes within 5 s. Connections in use receive calls and are not probed.

--- a/src/adapters/peer/server.rs
+++ b/src/adapters/peer/server.rs
@@ -20,7 +20,17 @@
 /// Longest time in which the router has to answer an inbound call.
 const HANDLER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time without a byte from a peer after which its connection is probed.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Longest time until the answer to such a probe. Packets may wait for more
+/// than a second on a congested link.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Serves peers until the listener fails.
+///
+/// A peer replaces a connection that went silent, and its end of the old one
+/// is never seen here. Only a probe shows that nobody uses it any more.
 pub(super) async fn serve(
     listener: std::net::TcpListener,
     inbound: mpsc::Sender<InboundCall>,
@@ -29,6 +39,8 @@
     let service = PeerServer::new(PeerService { inbound })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(service)
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await?;
