LOST: a request lost on a silent connection to a worker was sent on another

Callers got 504 after all of their time for streams and idempotent calls sent up to 2 s after the connections to workers had gone silent, although every worker was sound and a new connection to it would have worked.

Cause: the connections to workers are kept for 3 s. A request that got nothing on one of them within its usual time was sent once more to another worker, on another kept connection, just as silent. Its attempts were spent then, and it waited for its deadline. Only the kept connections to the first worker were closed.

Change: a request that was lost or got no answer on a connection is sent again on a new one.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -173,6 +173,18 @@
                 return Ok(connection);
             }
         }
+        self.connect_new(address).await
+    }
+
+    /// Opens a connection, whether or not there is an idle one.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::connect`].
+    pub async fn connect_new(
+        &self,
+        address: SocketAddr,
+    ) -> Result<HttpConnection, HttpFault> {
         let may_keep_late = self.late_connects.get() < self.max_idle;
         let stream = match self.late_connect_timeout.filter(|_| may_keep_late)
         {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -38,6 +38,9 @@
     pub(super) resume_after: Option<u64>,
     /// Whether the request may be sent to another upstream.
     pub(super) may_retry: bool,
+    /// Whether the request is sent on a new connection, because it was lost
+    /// on another one.
+    pub(super) on_new_connection: bool,
     /// Upstreams at which the request has failed.
     pub(super) excluded: Vec<String>,
     /// The slot at another upstream that was reserved when this one timed
@@ -64,6 +67,7 @@
             slot,
             resume_after: request.resume_after,
             may_retry: false,
+            on_new_connection: false,
             excluded: Vec::new(),
             next_slot: None,
             sent_at: Instant::now(),
@@ -81,7 +85,11 @@
     ) -> AttemptStart {
         let upstream = self.slot.upstream().clone();
         let ports = &self.core.ports;
-        let link = match ports.upstreams.connect(upstream.address).await {
+        let connect = match self.on_new_connection {
+            true => ports.upstreams.connect_new(upstream.address),
+            false => ports.upstreams.connect(upstream.address),
+        };
+        let link = match connect.await {
             Ok(link) => link,
             Err(fault) => {
                 self.record_outcome(UpstreamOutcome::Unreachable);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -176,6 +176,7 @@
         let mut attempt = CallAttempt::new(core, request, slot);
         attempt.resume_after = self.position.last_event;
         attempt.excluded = self.excluded.clone();
+        attempt.on_new_connection = self.failure.is_some();
         // This attempt counts, too: one more has to be left after it.
         attempt.may_retry = request.route.kind.is_retryable()
             && progress.sends.get() + 1 < request.route.max_attempts;
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -76,6 +76,18 @@
         address: SocketAddr,
     ) -> PortFuture<'_, Result<Box<dyn ForwardConnection>, UpstreamFault>>;
 
+    /// Opens a connection that has never been used.
+    ///
+    /// An idle connection may carry nothing any more without a sign of it.
+    ///
+    /// # Errors
+    ///
+    /// As [`ForwardPort::connect`].
+    fn connect_new(
+        &self,
+        address: SocketAddr,
+    ) -> PortFuture<'_, Result<Box<dyn ForwardConnection>, UpstreamFault>>;
+
     /// Closes the idle connections to an upstream that no longer answers.
     fn close_idle(&self, address: SocketAddr);
 
