LOST: calls went out on kept connections after others had found them silent

Callers got 504 for one call after the other that must not run twice: after a silence of the connections to workers, one for each worker within the 3 s for which idle connections are kept.

Cause: a request that gets nothing on a kept connection says only something about its own worker, whose kept connections are closed. That the connections are at fault and not the workers shows when several are silent at once, and nobody looked at that.

Change: when requests on kept connections to two upstreams have got no answer within their usual time, one second apart at most, all connections that have been idle since before the first of them was sent are closed. A slow upstream alone closes only its own, and connections that are in use stay. A call that was lost is still waited for: its worker may be slow, and it must not run twice. connections_closed tells of it.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -31,6 +31,7 @@
 
 struct IdleConnection {
     connection: HttpConnection,
+    idle_since: Instant,
     expires_at: Instant,
 }
 
@@ -165,15 +166,26 @@
         &self,
         address: SocketAddr,
     ) -> Result<HttpConnection, HttpFault> {
+        match self.take_open(address).await {
+            Some(connection) => Ok(connection),
+            None => self.connect_new(address).await,
+        }
+    }
+
+    /// Returns an idle connection that is still open, if there is one.
+    pub async fn take_open(
+        &self,
+        address: SocketAddr,
+    ) -> Option<HttpConnection> {
         while let Some(mut connection) = self.take_idle(address) {
             // An idle connection that is readable was closed by the remote
             // end, or has bytes that belong to no response.
             let probe = connection.reader.wait_readable(Duration::ZERO).await;
             if matches!(probe, Err(HttpFault::TimedOut)) {
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        self.connect_new(address).await
+        None
     }
 
     /// Opens a connection, whether or not there is an idle one.
@@ -247,6 +259,7 @@
         if list.len() < self.max_idle {
             list.push(IdleConnection {
                 connection,
+                idle_since: now,
                 expires_at: now + idle_timeout,
             });
         }
@@ -257,6 +270,19 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all connections that have been idle since before `time`;
+    /// returns their number.
+    pub fn close_idle_since(&self, time: Instant) -> usize {
+        let mut pool = self.idle.borrow_mut();
+        let mut closed = 0;
+        for list in pool.values_mut() {
+            let before = list.len();
+            list.retain(|idle| idle.idle_since >= time);
+            closed += before - list.len();
+        }
+        closed
+    }
+
     /// Closes the idle connections whose idle timeout has passed.
     pub fn close_expired(&self) {
         let now = Instant::now();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -106,6 +106,7 @@
             time_left: left,
             resume_after: self.resume_after,
         };
+        let is_kept = link.is_kept();
         let sent = {
             let mut send = pin!(link.send(call));
             let timely =
@@ -114,6 +115,9 @@
                 Ok(sent) => sent,
                 Err(_) => {
                     self.record_timeout();
+                    if is_kept {
+                        self.record_silent_connection();
+                    }
                     if self.try_reroute() {
                         return AttemptStart::Silent;
                     }
@@ -182,6 +186,28 @@
         self.record_outcome(UpstreamOutcome::Silent);
     }
 
+    /// Records that a kept connection has carried nothing. If those to other
+    /// upstreams have neither, all that were idle meanwhile are closed.
+    fn record_silent_connection(&self) {
+        let upstream = self.slot.upstream().vm.as_str();
+        let mut silent = self.core.silent_upstreams.borrow_mut();
+        let since = silent.record(upstream, self.sent_at, Instant::now());
+        drop(silent);
+        let Some(since) = since else {
+            return;
+        };
+        let closed = self.core.ports.upstreams.close_idle_since(since);
+        if closed == 0 {
+            return;
+        }
+        log::info!(
+            event:% = LogEvent::ConnectionsClosed,
+            request_id = self.request.id.as_str(), upstream, closed,
+            idle_ms = since.elapsed().as_millis() as u64;
+            "idle connections closed: several upstreams are silent"
+        );
+    }
+
     /// Records that the answer has arrived, or the first event of a streamed
     /// answer.
     pub(super) fn record_answer(&self) {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,8 +9,8 @@
 
 use super::{
     CallRequest, DeclarationTracker, GatewayFront, LatencyEstimator,
-    LeavePlan, StaleReason, VersionChoice, crashes::CrashProbes,
-    moves::ServiceMoves, spread::DeclarationSpread,
+    LeavePlan, SilentUpstreams, StaleReason, VersionChoice,
+    crashes::CrashProbes, moves::ServiceMoves, spread::DeclarationSpread,
 };
 use crate::{
     allowance::AllowanceKeeper,
@@ -154,6 +154,7 @@
     pub(super) quarantine: RefCell<PartQuarantine>,
     /// Probes of upstreams whose connections broke.
     pub(super) crash_probes: RefCell<CrashProbes>,
+    pub(super) silent_upstreams: RefCell<SilentUpstreams>,
     /// The rate limits that upstreams have named.
     pub(super) limits: RefCell<UpstreamLimits>,
     pub(super) latencies: RefCell<LatencyEstimator>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,8 @@
 //! * `answer` forwards the answer, and `relay` copies an event stream to a
 //!   caller.
 //! * `patience` computes the timeout for the start of an answer.
+//! * `silence` tells connections that went silent from slow upstreams
+//!   ([`SilentUpstreams`]).
 //! * `callers` and `entry` answer what the listeners receive.
 //! * `follow` keeps the catalog, the upstreams and the entry VMs up to date.
 //! * `declared` tracks whether the operators' declarations are current
@@ -56,6 +58,7 @@
 mod relay;
 mod request;
 mod serve;
+mod silence;
 mod spread;
 mod witness;
 
@@ -69,5 +72,6 @@
     patience::{LatencyEstimator, expected_latency},
     process::GatewayProcess,
     request::{CallRequest, GatewayFront, PromptPart, TokenCeiling},
+    silence::SilentUpstreams,
     spread::{announcement_fanout, reader_count},
 };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -9,7 +9,8 @@
 };
 
 use super::{
-    DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator, confirm,
+    DeclarationTracker, GatewayCore, GatewayPorts, LatencyEstimator,
+    SilentUpstreams, confirm,
     crashes::CrashProbes,
     entry::{self, ListenerRole},
     follow, limits, moves, parts,
@@ -204,6 +205,7 @@
         outage: RefCell::new(OutageTracker::new()),
         quarantine: RefCell::new(PartQuarantine::new()),
         crash_probes: RefCell::new(CrashProbes::new()),
+        silent_upstreams: RefCell::new(SilentUpstreams::new()),
         limits: RefCell::new(UpstreamLimits::new()),
         latencies: RefCell::new(LatencyEstimator::new()),
         retry_budgets: RefCell::default(),
--- a/src/ports/forward.rs
+++ b/src/ports/forward.rs
@@ -1,6 +1,10 @@
 //! Requests that are passed on to upstreams unchanged.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http::{HeaderMap, StatusCode};
 
@@ -53,6 +57,9 @@
 
 /// An open connection to an upstream on which nothing has been sent.
 pub trait ForwardConnection {
+    /// Returns whether the connection has carried a request before.
+    fn is_kept(&self) -> bool;
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -91,6 +98,10 @@
     /// Closes the idle connections to an upstream that no longer answers.
     fn close_idle(&self, address: SocketAddr);
 
+    /// Closes the connections to any upstream that have been idle since
+    /// before `time`; returns their number.
+    fn close_idle_since(&self, time: Instant) -> usize;
+
     /// Closes the idle connections whose idle timeout has passed.
     fn close_expired(&self);
 }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -107,6 +107,12 @@
     ];
     /// An upstream is used again.
     UpstreamReadmitted = "upstream_readmitted" ["upstream", "service"];
+    /// Several upstreams gave no answer on kept connections at the same time;
+    /// `closed` connections to upstreams that were idle for `idle_ms` or more
+    /// were closed.
+    ConnectionsClosed = "connections_closed" [
+        "request_id", "upstream", "closed", "idle_ms",
+    ];
     /// A registration came, changed or went.
     UpstreamChanged = "upstream_changed" ["upstream", "change"];
     /// A registration was removed; the upstream stays in use for a time, in
