DRAIN: a leaving router told the others one after the other

A router that was told to leave pinged the others in turn and each of them once. With silent connections, or others that are down, each ping took its timeout: 40 routers 9.8 s, longer than the grace time of 8 s, and those with a silent connection were not told at all. Until they learn of it otherwise they name the leaving router to callers.

Change: all are pinged at the same time, and once more 0.1 s after a ping that failed, by which time a silent connection is replaced.

Evidence: a_leaving_router_tells_all_others_in_time, 39 others whose first pings are lost: 9.8 s and one ping each before; within 1 s and told with the change.

--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -14,6 +14,7 @@
 };
 
 use {
+    futures_util::future::join_all,
     rand::seq::{IndexedRandom, SliceRandom},
     tokio::sync::Notify,
 };
@@ -26,6 +27,7 @@
         KnownState, MemberStatus, MemberUpdate, PeerAnswer, PeerCall,
         PeerPort, PingMessage, VmRole,
     },
+    runtime::sleep,
     telemetry::LogEvent,
     timer::TimerService,
 };
@@ -44,6 +46,9 @@
 /// Number of helpers that are asked to probe a router that did not answer.
 const INDIRECT_PROBES: usize = 2;
 
+/// Delay before a ping of a broadcast that got no answer is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(100);
+
 /// The interval and timeout of the failure detector.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberOptions {
@@ -237,10 +242,19 @@
         }
     }
 
-    /// Pings every other router, one after another.
+    /// Pings every other router, all at the same time.
     pub async fn broadcast(&self, peers: &dyn PeerPort) {
-        for vm in self.other_routers() {
-            self.ping(peers, &vm).await;
+        let routers = self.other_routers();
+        let pings = routers.iter().map(|vm| self.ping_again(peers, vm));
+        join_all(pings).await;
+    }
+
+    /// Pings a router, and once more if it does not answer: the connection to
+    /// it may have gone silent, and is replaced meanwhile.
+    async fn ping_again(&self, peers: &dyn PeerPort, vm: &str) {
+        if !self.ping(peers, vm).await {
+            sleep(REPEAT_DELAY).await;
+            self.ping(peers, vm).await;
         }
     }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use magnoliahaven::{
@@ -155,3 +155,57 @@
     });
     ran.expect("runtime");
 }
+
+/// Peers whose first pings are lost, which shows after some time.
+#[derive(Default)]
+struct LossyPeers {
+    pinged: RefCell<BTreeMap<SocketAddr, u32>>,
+}
+
+/// Time after which a lost ping fails.
+const PING_TIMEOUT: Duration = Duration::from_millis(250);
+
+impl PeerPort for LossyPeers {
+    fn call(
+        &self,
+        peer: SocketAddr,
+        call: PeerCall,
+    ) -> PortFuture<'_, Result<PeerAnswer, PeerFault>> {
+        Box::pin(async move {
+            let PeerCall::Ping(message) = call else {
+                return Ok(PeerAnswer::Reached(false));
+            };
+            let count = {
+                let mut pinged = self.pinged.borrow_mut();
+                let count = pinged.entry(peer).or_default();
+                *count += 1;
+                *count
+            };
+            if count == 1 {
+                sleep(PING_TIMEOUT).await;
+                let reason = "timed out".to_owned();
+                return Err(PeerFault::Unreachable { reason });
+            }
+            Ok(PeerAnswer::Pong(pong(peer, &message)))
+        })
+    }
+}
+
+/// DRAIN: a router that leaves told the others one after the other, each of
+/// which took a timeout when their connections were silent, and did not tell
+/// them again.
+#[test]
+fn a_leaving_router_tells_all_others_in_time() {
+    const ROUTERS: u16 = 40;
+    let ran = block_on(async {
+        let fleet = start(ROUTERS, None);
+        let peers = LossyPeers::default();
+        let started = Instant::now();
+        fleet.table.broadcast(&peers).await;
+        assert!(started.elapsed() < Duration::from_secs(1));
+        let pinged = peers.pinged.borrow();
+        assert_eq!(pinged.len(), usize::from(ROUTERS) - 1);
+        assert!(pinged.values().all(|count| *count == 2), "{pinged:?}");
+    });
+    ran.expect("runtime");
+}
