Accepted connections that went silent are closed after 8 s

With 300 VMs a silence leaves some 300 more descriptors at each of them until the probes have found the silent connections. At 15 s, silences that come each 3 s would add 1,500 to them, at 8 s 900.

--- a/src/adapters/peer/server.rs
+++ b/src/adapters/peer/server.rs
@@ -21,11 +21,11 @@
 const HANDLER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time without a byte from a peer after which its connection is probed.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Longest time until the answer to such a probe. Packets may wait for more
 /// than a second on a congested link.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Serves peers until the listener fails.
 ///
