RECOVER: a connection that went silent while it opened was never closed

A connection between VMs that carries nothing from the beginning cost the accepting side a descriptor for good: probes begin with the first message of the peer. One that has sent nothing for 5 s is closed.

--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -1,6 +1,6 @@
 //! The connections to peers.
 //!
-//! A connection may stop to carry anything in either direction although
+//! A connection may stop carrying anything in either direction although
 //! nobody has closed it. Only calls without an answer show that. The
 //! connection is then replaced by a new one, and stays in use until that one
 //! is open: if the peer is slow or the network congested, the calls under way
--- a/src/adapters/peer/server.rs
+++ b/src/adapters/peer/server.rs
@@ -4,7 +4,7 @@
 
 use {
     tokio::sync::{mpsc, oneshot},
-    tokio_stream::wrappers::TcpListenerStream,
+    tokio_stream::{StreamExt, wrappers::TcpListenerStream},
     tonic::{Request, Response, Status, transport::Server},
 };
 
@@ -14,6 +14,7 @@
         self as wire,
         peer_server::{Peer, PeerServer},
     },
+    stream::AcceptedStream,
 };
 use crate::ports::{PeerAnswer, PeerCall};
 
@@ -36,13 +37,15 @@
     inbound: mpsc::Sender<InboundCall>,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let accepted = TcpListenerStream::new(listener)
+        .map(|stream| stream.map(AcceptedStream::new));
     let service = PeerServer::new(PeerService { inbound })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(accepted)
         .await?;
     Ok(())
 }
--- a/src/adapters/peer/stream.rs
+++ b/src/adapters/peer/stream.rs
@@ -1,7 +1,8 @@
-//! A connection that notes when it receives something.
+//! Connections that notice when nothing arrives.
 
 use std::{
-    io,
+    future::Future,
+    io::{self, ErrorKind},
     pin::Pin,
     sync::{
         Arc,
@@ -11,11 +12,54 @@
     time::{Duration, Instant},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+use {
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::Sleep,
+    },
+    tonic::transport::server::Connected,
 };
 
+/// Writes to the field `stream` of a type that implements `AsyncWrite`.
+macro_rules! delegate_write {
+    () => {
+        fn poll_write(
+            mut self: Pin<&mut Self>,
+            context: &mut Context<'_>,
+            bytes: &[u8],
+        ) -> Poll<io::Result<usize>> {
+            Pin::new(&mut self.stream).poll_write(context, bytes)
+        }
+
+        fn poll_flush(
+            mut self: Pin<&mut Self>,
+            context: &mut Context<'_>,
+        ) -> Poll<io::Result<()>> {
+            Pin::new(&mut self.stream).poll_flush(context)
+        }
+
+        fn poll_shutdown(
+            mut self: Pin<&mut Self>,
+            context: &mut Context<'_>,
+        ) -> Poll<io::Result<()>> {
+            Pin::new(&mut self.stream).poll_shutdown(context)
+        }
+
+        fn poll_write_vectored(
+            mut self: Pin<&mut Self>,
+            context: &mut Context<'_>,
+            slices: &[io::IoSlice<'_>],
+        ) -> Poll<io::Result<usize>> {
+            Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        }
+
+        fn is_write_vectored(&self) -> bool {
+            self.stream.is_write_vectored()
+        }
+    };
+}
+
 /// When a connection was opened and when it received something.
 ///
 /// The connection is used by a task of `tonic`; the clock is shared with the
@@ -92,37 +136,58 @@
 }
 
 impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
+    delegate_write!();
+}
 
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
+/// Longest time until an accepted connection has received its first byte.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(5);
 
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+/// An accepted connection, which fails if its peer sends nothing at first.
+///
+/// A connection that goes silent while it is opened would stay open for good:
+/// keep-alive probes begin with the first message of the peer.
+#[derive(Debug)]
+pub(super) struct AcceptedStream {
+    stream: TcpStream,
+    /// Ends the wait for the first byte; `None` once that has come.
+    first_byte_timeout: Option<Pin<Box<Sleep>>>,
+}
+
+impl AcceptedStream {
+    /// Wraps a connection that has just been accepted.
+    pub(super) fn new(stream: TcpStream) -> AcceptedStream {
+        let timeout = Box::pin(tokio::time::sleep(FIRST_BYTE_TIMEOUT));
+        AcceptedStream { stream, first_byte_timeout: Some(timeout) }
     }
+}
+
+impl Connected for AcceptedStream {
+    type ConnectInfo = ();
 
-    fn poll_write_vectored(
+    fn connect_info(&self) {}
+}
+
+impl AsyncRead for AcceptedStream {
+    fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_ready() {
+            self.first_byte_timeout = None;
+            return read;
+        }
+        let Some(timeout) = &mut self.first_byte_timeout else {
+            return read;
+        };
+        match timeout.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
     }
+}
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
+impl AsyncWrite for AcceptedStream {
+    delegate_write!();
 }
