MIXED: an answer reset behind an unread upload counted as complete

Callers got part of an answer, or none of it, as a whole one: an upstream answered without a length before it had read the upload, ended its stream and reset the connection.

Cause: the end of such an answer is believed at once if the request was written to its end. That only says that it is in the buffers of the sockets; the upstream may not have read it, which is why the connection is reset.

Change: behind a body of more than one read (16 KiB) the reset is waited for, 20 ms, as it was behind a body that was still being written.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -18,7 +18,7 @@
 
 use super::{
     HttpConnection, HttpFault, HttpReply, MessageLimits, SentRequest,
-    encode::payload_of, reply::MEMORY_UNIT,
+    reply::MEMORY_UNIT,
 };
 use crate::runtime::{InFlightCount, spawn};
 
@@ -306,7 +306,6 @@
                 .expect("a socket address is printable");
             headers.insert(http::header::HOST, host);
         }
-        let request = request.map(payload_of);
         SentRequest::new(self.clone(), address, connection, request)
     }
 
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -26,8 +26,8 @@
 use super::{
     HttpClient, HttpConnection, HttpFault, MessageLimits,
     chunked::ChunkedBody,
-    connection::{BodyLength, BoundedReader, body_length},
-    encode::write_message,
+    connection::{BodyLength, BoundedReader, READ_SIZE, body_length},
+    encode::{payload_of, write_message},
 };
 use crate::domain::MAX_TIME;
 
@@ -115,6 +115,9 @@
     write: RequestWrite,
     /// Whether the remote end closes the connection after a response.
     closes: bool,
+    /// Whether the remote end may respond before it has read the request,
+    /// although all of it was written.
+    has_long_body: bool,
 }
 
 impl SentRequest {
@@ -124,11 +127,13 @@
         client: HttpClient,
         address: SocketAddr,
         connection: HttpConnection,
-        request: Request<Payload>,
+        request: Request<Bytes>,
     ) -> SentRequest {
         let HttpConnection { reader, writer } = connection;
-        let write = RequestWrite::new(writer, request);
-        SentRequest { client, address, reader, write, closes: false }
+        let has_long_body = request.body().len() > READ_SIZE;
+        let write = RequestWrite::new(writer, request.map(payload_of));
+        let closes = false;
+        SentRequest { client, address, reader, write, closes, has_long_body }
     }
 
     /// Reads the head of the next response. Interim responses before it are
@@ -178,7 +183,8 @@
             limits: self.client.limits,
             reply_memory: self.client.reply_memory.clone(),
             memory: None,
-            is_early: !matches!(self.write, RequestWrite::Written(_)),
+            may_be_unread: self.has_long_body
+                || !matches!(self.write, RequestWrite::Written(_)),
             state: BodyState::Open(Box::new(self)),
         };
         Ok(HttpReply { status: head.status, headers: head.headers, body })
@@ -187,9 +193,8 @@
     /// Checks that a body which ended with its connection is whole.
     ///
     /// A socket reports a reset once. If the write of the request has met it,
-    /// the read finds an ordinary end of the connection. If the response
-    /// began before the request was written, a reset may also follow just
-    /// behind the end.
+    /// the read finds an ordinary end of the connection. If the request may
+    /// not have been read, a reset may also follow just behind the end.
     ///
     /// # Errors
     ///
@@ -197,14 +202,14 @@
     /// not written by `deadline`.
     async fn check_close(
         &mut self,
-        is_early: bool,
+        may_be_unread: bool,
         deadline: Instant,
     ) -> Result<(), HttpFault> {
         let wait = deadline.saturating_duration_since(Instant::now());
         let is_written =
             monoio::time::timeout(wait, self.write.finish()).await;
         let is_written = is_written.map_err(|_| HttpFault::TimedOut)?;
-        if is_early {
+        if may_be_unread {
             monoio::time::sleep(RESET_DELAY).await;
         }
         if is_written && !self.reader.socket.has_error() {
@@ -327,8 +332,8 @@
     reply_memory: Option<Arc<Semaphore>>,
     /// The memory that is reserved for the body, if it is large.
     memory: Option<OwnedSemaphorePermit>,
-    /// Whether the response began before the request was written.
-    is_early: bool,
+    /// Whether the response may have begun before the request was read.
+    may_be_unread: bool,
 }
 
 impl ReplyBody {
@@ -397,7 +402,7 @@
                 let chunk = reader.read_available(deadline);
                 let chunk = write.run_beside(chunk).await?;
                 if chunk.is_none() {
-                    sent.check_close(self.is_early, deadline).await?;
+                    sent.check_close(self.may_be_unread, deadline).await?;
                 }
                 Ok(chunk)
             }
