--- a/standins/src/fleet/relay.rs
+++ b/standins/src/fleet/relay.rs
@@ -122,7 +122,7 @@
         count
     }
 
-    /// Connections opened so far.
+    /// Connections opened since the relay was healed last.
     pub fn connections(&self) -> usize {
         // No code panics while it holds the lock.
         self.state.open.lock().expect("open").len()
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -11,11 +11,12 @@
 use {
     common::entry_vms,
     magnoliahaven::{
+        adapters::peer::ReplacementPace,
         catalog::{
             AccountSpec, CallKind, CatalogBuilder, RouteSpec, RouteTarget,
         },
         entry::{EntryHealth, select_entries, selection_size},
-        gateway::LeavePlan,
+        gateway::{LeavePlan, SilentUpstreams},
         membership::{
             OutageTracker, RosterChange, UpstreamRoster, VmDirectory,
             rendezvous_weight,
@@ -516,3 +517,39 @@
     assert_eq!(picks, listed);
     assert_ne!(rendezvous_weight("a", "b"), rendezvous_weight("b", "a"));
 }
+
+/// One slow upstream, or several that are slow seconds apart, are no reason
+/// to close the connections to all others.
+#[test]
+fn connections_are_doubted_only_if_several_upstreams_are_silent_at_once() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut silent = SilentUpstreams::new();
+    for round in 0..10 {
+        let sent_at = at(round * 100);
+        assert_eq!(silent.record("w-1", sent_at, at(round * 100 + 400)), None);
+    }
+    assert_eq!(silent.record("w-2", at(3_000), at(3_400)), None);
+    assert_eq!(silent.record("w-3", at(4_500), at(4_900)), None);
+    // The connections may have been silent since the first was sent.
+    let since = silent.record("w-4", at(4_600), at(5_000));
+    assert_eq!(since, Some(at(4_500)));
+    assert_eq!(silent.record("w-5", at(4_700), at(5_100)), None);
+}
+
+/// A frozen peer answers nothing on any connection: it is not flooded with
+/// new ones, and gets one soon once it has answered again.
+#[test]
+fn the_connection_to_a_peer_that_answers_nothing_is_replaced_ever_later() {
+    let start = Instant::now();
+    let mut pace = ReplacementPace::new();
+    let mut replaced = Vec::new();
+    for ms in (0..10_000).step_by(100) {
+        if pace.try_replace(start + Duration::from_millis(ms)) {
+            replaced.push(ms);
+        }
+    }
+    assert_eq!(replaced, [0, 500, 1_500, 3_500, 5_500, 7_500, 9_500]);
+    pace.record_answer();
+    assert!(pace.try_replace(start + Duration::from_millis(10_000)));
+}
