Accepted connections that were replaced are closed without probing all

Each call names its VM now. When a later connection of the same VM has carried a call, earlier ones are closed once they have received nothing for 5 s. A connection that has carried no call at all is closed after as long. Probes are left for VMs that lost power, after 60 s.

The two tests of accepted connections pass unchanged.

--- a/src/adapters/peer/encode.rs
+++ b/src/adapters/peer/encode.rs
@@ -1,20 +1,27 @@
 //! The calls in their wire form.
 
-use tonic::{Status, transport::Channel};
+use tonic::{
+    Request, Status, metadata::BinaryMetadataValue, transport::Channel,
+};
 
 use super::{
-    MAX_MESSAGE_BYTES, convert,
+    MAX_MESSAGE_BYTES, VM_KEY, convert,
     generated::{self as wire, peer_client::PeerClient as WireClient},
 };
 use crate::ports::{PeerAnswer, PeerCall};
 
-/// Sends a call on a channel and waits for its answer.
+/// Sends a call of the VM `vm` on a channel and waits for its answer.
 pub(super) async fn send_call(
     channel: Channel,
+    vm: BinaryMetadataValue,
     call: PeerCall,
 ) -> Result<PeerAnswer, Status> {
-    let mut client =
-        WireClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let add_vm = move |mut request: Request<()>| {
+        request.metadata_mut().insert_bin(VM_KEY, vm.clone());
+        Ok(request)
+    };
+    let mut client = WireClient::with_interceptor(channel, add_vm)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
     Ok(match call {
         PeerCall::Lend(request) => {
             let call = wire::LendCall::from(request);
--- a/src/adapters/peer/link.rs
+++ b/src/adapters/peer/link.rs
@@ -18,18 +18,23 @@
     tokio::{net::TcpStream, sync::watch},
     tonic::{
         Status,
+        metadata::BinaryMetadataValue,
         transport::{self, Channel, Endpoint, Uri},
     },
     tower::{Service, service_fn},
 };
 
 use super::{
+    encode::send_call,
     fault::CallFault,
     health::PeerHealth,
     pace::ReplacementPace,
     stream::{ReceiveClock, WatchedStream},
 };
-use crate::telemetry::{LogEvent, PeerMetrics};
+use crate::{
+    ports::{PeerAnswer, PeerCall},
+    telemetry::{LogEvent, PeerMetrics},
+};
 
 /// Timeout of opening a connection. Packets may wait for more than a second
 /// on a congested link.
@@ -62,11 +67,6 @@
         Ok(PeerLink { channel, clock })
     }
 
-    /// Returns the channel for calls.
-    pub(super) fn channel(&self) -> Channel {
-        self.channel.clone()
-    }
-
     /// Returns the time since the connection received something; `None` if
     /// it is not open.
     fn silence(&self) -> Option<Duration> {
@@ -148,6 +148,8 @@
 #[derive(Debug)]
 pub(super) struct LinkSlot {
     peer: SocketAddr,
+    /// The VM that makes the calls.
+    vm: BinaryMetadataValue,
     endpoint: Endpoint,
     link: watch::Sender<PeerLink>,
     state: Mutex<SlotState>,
@@ -162,6 +164,7 @@
     /// Returns a status if the address cannot be written as a URI.
     pub(super) fn new(
         peer: SocketAddr,
+        vm: BinaryMetadataValue,
         metrics: PeerMetrics,
     ) -> Result<LinkSlot, Status> {
         let endpoint = Endpoint::from_shared(format!("http://{peer}"));
@@ -175,7 +178,7 @@
             is_opening: false,
         };
         let state = Mutex::new(state);
-        Ok(LinkSlot { peer, endpoint, link, state, metrics })
+        Ok(LinkSlot { peer, vm, endpoint, link, state, metrics })
     }
 
     /// Returns the connection to use for a new call.
@@ -183,6 +186,16 @@
         self.link.borrow().clone()
     }
 
+    /// Sends a call on one of the peer's connections.
+    pub(super) async fn send(
+        &self,
+        link: &PeerLink,
+        call: PeerCall,
+    ) -> Result<PeerAnswer, Status> {
+        let channel = link.channel.clone();
+        send_call(channel, self.vm.clone(), call).await
+    }
+
     /// Waits for the connection that replaces `silent`.
     pub(super) async fn replacement(&self, silent: &PeerLink) -> PeerLink {
         let mut links = self.link.subscribe();
--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -11,6 +11,7 @@
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 mod generated;
 
+mod accepted;
 mod convert;
 mod encode;
 mod fault;
@@ -31,3 +32,6 @@
 /// Maximum size of a message of a peer in bytes. The largest message is one
 /// with a control state.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Metadata of each call with the name of the VM that makes it.
+const VM_KEY: &str = "vm-bin";
--- a/src/adapters/peer/outbound.rs
+++ b/src/adapters/peer/outbound.rs
@@ -8,10 +8,12 @@
     time::{Duration, Instant},
 };
 
-use {tokio::sync::mpsc, tonic::Status};
+use {
+    tokio::sync::mpsc,
+    tonic::{Status, metadata::BinaryMetadataValue},
+};
 
 use super::{
-    encode::send_call,
     fault::CallFault,
     limits::CallLimits,
     link::{LinkSlot, PeerLink},
@@ -35,12 +37,14 @@
 /// The slots of all peers.
 struct SlotTable {
     slots: BTreeMap<SocketAddr, UsedSlot>,
+    vm: BinaryMetadataValue,
     metrics: PeerMetrics,
 }
 
 impl SlotTable {
-    fn new(metrics: PeerMetrics) -> SlotTable {
-        SlotTable { slots: BTreeMap::new(), metrics }
+    fn new(vm: &str, metrics: PeerMetrics) -> SlotTable {
+        let vm = BinaryMetadataValue::from_bytes(vm.as_bytes());
+        SlotTable { slots: BTreeMap::new(), vm, metrics }
     }
 
     /// Returns the slot of a peer. A new one takes the place of those that
@@ -54,19 +58,22 @@
         self.slots.retain(|_, used| {
             now.saturating_duration_since(used.used_at) < IDLE_LIFETIME
         });
-        let slot = Arc::new(LinkSlot::new(peer, self.metrics.clone())?);
+        let (vm, metrics) = (self.vm.clone(), self.metrics.clone());
+        let slot = Arc::new(LinkSlot::new(peer, vm, metrics)?);
         let used = UsedSlot { slot: slot.clone(), used_at: now };
         self.slots.insert(peer, used);
         Ok(slot)
     }
 }
 
-/// Makes the calls that arrive on the channel, each in a task of its own.
+/// Makes the calls of the VM `vm` that arrive on the channel, each in a task
+/// of its own.
 pub(super) async fn run_outbound(
     mut calls: mpsc::Receiver<OutboundCall>,
+    vm: String,
     metrics: PeerMetrics,
 ) {
-    let mut table = SlotTable::new(metrics);
+    let mut table = SlotTable::new(&vm, metrics);
     while let Some(outbound) = calls.recv().await {
         let OutboundCall { peer, call, answer } = outbound;
         let slot = match table.slot(peer) {
@@ -99,7 +106,7 @@
     let link = slot.link();
     let sent_at = Instant::now();
     let mut timeout = pin!(tokio::time::sleep(limits.timeout));
-    let mut first = pin!(send_call(link.channel(), call.clone()));
+    let mut first = pin!(slot.send(&link, call.clone()));
     tokio::select! {
         biased;
         answer = &mut first => return answer.map_err(CallFault::from),
@@ -156,5 +163,5 @@
 ) -> Result<PeerAnswer, Status> {
     let link = slot.replacement(silent).await;
     let call = call.with_delay(sent_at.elapsed());
-    send_call(link.channel(), call).await
+    slot.send(&link, call).await
 }
--- a/src/adapters/peer/server.rs
+++ b/src/adapters/peer/server.rs
@@ -1,46 +1,62 @@
 //! Serves the calls of peers.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
 
 use {
     tokio::sync::{mpsc, oneshot},
     tokio_stream::{StreamExt, wrappers::TcpListenerStream},
-    tonic::{Request, Response, Status, transport::Server},
+    tonic::{
+        Request, Response, Status, service::interceptor::InterceptedService,
+        transport::Server,
+    },
 };
 
 use super::{
-    InboundCall, MAX_MESSAGE_BYTES,
+    InboundCall, MAX_MESSAGE_BYTES, VM_KEY,
+    accepted::{AcceptedTable, ConnectionId},
     generated::{
         self as wire,
         peer_server::{Peer, PeerServer},
     },
-    stream::AcceptedStream,
 };
 use crate::ports::{PeerAnswer, PeerCall};
 
 /// Longest time in which the router has to answer an inbound call.
 const HANDLER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time without a byte from a peer after which its connection is probed.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time without a byte from a peer after which its connection is probed: it
+/// may have lost power. Each probe takes time of both routers.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Longest time until the answer to such a probe. Packets may wait for more
 /// than a second on a congested link.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Interval at which silent connections are looked for.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+type SharedTable = Arc<Mutex<AcceptedTable>>;
 
 /// Serves peers until the listener fails.
-///
-/// A peer replaces a connection that went silent, and its end of the old one
-/// is never seen here. Only a probe shows that nobody uses it any more.
 pub(super) async fn serve(
     listener: std::net::TcpListener,
     inbound: mpsc::Sender<InboundCall>,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let table = SharedTable::default();
+    tokio::spawn(close_silent(table.clone()));
+    let accepting = table.clone();
     let accepted = TcpListenerStream::new(listener)
-        .map(|stream| stream.map(AcceptedStream::new));
+        .map(move |stream| stream.map(|stream| lock(&accepting).add(stream)));
     let service = PeerServer::new(PeerService { inbound })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let service = InterceptedService::new(service, move |request| {
+        record_call(&table, &request);
+        Ok(request)
+    });
     Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
@@ -50,6 +66,28 @@
     Ok(())
 }
 
+fn lock(table: &SharedTable) -> MutexGuard<'_, AcceptedTable> {
+    // The lock is never poisoned: no code panics while it holds it.
+    table.lock().expect("table")
+}
+
+async fn close_silent(table: SharedTable) {
+    loop {
+        tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+        lock(&table).close_silent(Instant::now());
+    }
+}
+
+/// Records on which connection a call came, and from which VM.
+fn record_call(table: &SharedTable, request: &Request<()>) {
+    let Some(id) = request.extensions().get::<ConnectionId>() else {
+        return;
+    };
+    let vm = request.metadata().get_bin(VM_KEY);
+    let vm = vm.and_then(|vm| vm.to_bytes().ok());
+    lock(table).record_call(*id, vm.as_deref());
+}
+
 struct PeerService {
     inbound: mpsc::Sender<InboundCall>,
 }
--- a/src/adapters/peer/stream.rs
+++ b/src/adapters/peer/stream.rs
@@ -1,8 +1,7 @@
-//! Connections that notice when nothing arrives.
+//! Connections that note when they receive something.
 
 use std::{
-    future::Future,
-    io::{self, ErrorKind},
+    io,
     pin::Pin,
     sync::{
         Arc,
@@ -12,13 +11,9 @@
     time::{Duration, Instant},
 };
 
-use {
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-        time::Sleep,
-    },
-    tonic::transport::server::Connected,
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
 };
 
 /// Writes to the field `stream` of a type that implements `AsyncWrite`.
@@ -60,6 +55,8 @@
     };
 }
 
+pub(super) use delegate_write;
+
 /// When a connection was opened and when it received something.
 ///
 /// The connection is used by a task of `tonic`; the clock is shared with the
@@ -96,7 +93,7 @@
     }
 
     /// Records that the connection was opened or has received something.
-    fn record(&self) {
+    pub(super) fn record(&self) {
         let us = self.created_at.elapsed().as_micros() as u64;
         self.received_us.store(us.max(1), Ordering::Relaxed);
     }
@@ -138,56 +135,3 @@
 impl AsyncWrite for WatchedStream {
     delegate_write!();
 }
-
-/// Longest time until an accepted connection has received its first byte.
-const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// An accepted connection, which fails if its peer sends nothing at first.
-///
-/// A connection that goes silent while it is opened would stay open for good:
-/// keep-alive probes begin with the first message of the peer.
-#[derive(Debug)]
-pub(super) struct AcceptedStream {
-    stream: TcpStream,
-    /// Ends the wait for the first byte; `None` once that has come.
-    first_byte_timeout: Option<Pin<Box<Sleep>>>,
-}
-
-impl AcceptedStream {
-    /// Wraps a connection that has just been accepted.
-    pub(super) fn new(stream: TcpStream) -> AcceptedStream {
-        let timeout = Box::pin(tokio::time::sleep(FIRST_BYTE_TIMEOUT));
-        AcceptedStream { stream, first_byte_timeout: Some(timeout) }
-    }
-}
-
-impl Connected for AcceptedStream {
-    type ConnectInfo = ();
-
-    fn connect_info(&self) {}
-}
-
-impl AsyncRead for AcceptedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if read.is_ready() {
-            self.first_byte_timeout = None;
-            return read;
-        }
-        let Some(timeout) = &mut self.first_byte_timeout else {
-            return read;
-        };
-        match timeout.as_mut().poll(context) {
-            Poll::Ready(()) => Poll::Ready(Err(ErrorKind::TimedOut.into())),
-            Poll::Pending => Poll::Pending,
-        }
-    }
-}
-
-impl AsyncWrite for AcceptedStream {
-    delegate_write!();
-}
--- a/src/adapters/peer/thread.rs
+++ b/src/adapters/peer/thread.rs
@@ -60,18 +60,19 @@
 }
 
 impl PeerThread {
-    /// Starts the thread and listens for peers.
+    /// Starts the thread of the VM `vm` and listens for peers.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system if the address `listen`
     /// cannot be used or the thread cannot be started.
-    pub fn start(listen: SocketAddr) -> io::Result<PeerThread> {
+    pub fn start(listen: SocketAddr, vm: &str) -> io::Result<PeerThread> {
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let (outbound, calls) = mpsc::channel(CHANNEL_CAPACITY);
         let (inbound_tx, inbound) = mpsc::channel(CHANNEL_CAPACITY);
         let (signal_tx, signals) = mpsc::channel(CHANNEL_CAPACITY);
+        let vm = vm.to_owned();
         let metrics = PeerMetrics::new();
         let counters = metrics.clone();
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -80,7 +81,7 @@
         thread::Builder::new().name("peers".to_owned()).spawn(move || {
             runtime.block_on(async move {
                 tokio::spawn(forward_signals(signal_tx));
-                tokio::spawn(run_outbound(calls, counters));
+                tokio::spawn(run_outbound(calls, vm, counters));
                 if let Err(err) = serve(listener, inbound_tx).await {
                     log::error!(
                         event:% = LogEvent::ThreadLost, fault:% = err;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -55,7 +55,9 @@
             Rc<dyn crate::ports::PeerPort>,
         ) -> GatewayPorts,
     ) -> Result<GatewayProcess<Starting>, StartFault> {
-        let link = listen(settings.listen.peers, PeerThread::start)?;
+        let link = listen(settings.listen.peers, |address| {
+            PeerThread::start(address, &settings.vm)
+        })?;
         let ports = make_ports(&settings, Rc::new(link.client));
         let core = Rc::new(build_core(settings, ports));
         core.metrics.add_peers(&link.metrics);
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -58,7 +58,9 @@
         settings: RouterSettings,
     ) -> Result<RouterProcess<Starting>, StartFault> {
         let address = settings.listen.peers;
-        let link = listen(address, PeerThread::start)?;
+        let link = listen(address, |address| {
+            PeerThread::start(address, &settings.vm)
+        })?;
         let client = HttpClient::new();
         let log =
             Rc::new(LogClient::new(client.clone(), settings.log.address));
