--- a/review/lab-3.rs
+++ b/review/lab-3.rs
@@ -1906,8 +1906,158 @@
     Ok(late == 0)
 }
 
+/// A worker as a process of its own: it reads a request, sends the head of a
+/// stream with neither a length nor chunks, and its events half a second
+/// later.
+fn run_worker(id: &str, address: &str) -> ExitCode {
+    let Ok(address) = address.parse::<SocketAddr>() else {
+        return ExitCode::from(2);
+    };
+    let own = id.to_owned();
+    let served = serve(address, move |request, wire| {
+        let attempt = request.header("attempt-id");
+        if request.header("expect-instance") != own {
+            return wire.answer(
+                421,
+                &[("Attempt-Id", attempt), ("Not-Executed", "1")],
+                b"",
+            );
+        }
+        let (_, output) = token_usage(request);
+        let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: s-{own}\r\n\
+             Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        );
+        let mut sent = wire.stream.write_all(head.as_bytes()).is_ok();
+        sleep_ms(500);
+        for number in last + 1..=output / STRIDE {
+            let event = format!("id: {number}\ndata: piece-{number}\n\n");
+            sent = sent && wire.stream.write_all(event.as_bytes()).is_ok();
+            sleep_ms(5);
+        }
+        false
+    });
+    if served.is_err() {
+        return ExitCode::from(2);
+    }
+    loop {
+        sleep_ms(1_000);
+    }
+}
+
+/// ORDER: a worker crashes behind the head of its streams.
+fn empty_stream(lab: &Lab) -> Result<bool, String> {
+    const EVENTS: u64 = 10;
+    let program = std::env::current_exe().map_err(|err| err.to_string())?;
+    let mut workers = Vec::new();
+    for number in 0..4_u8 {
+        let id = format!("i-{number}");
+        let address =
+            SocketAddr::new(loopback(20 + number), free_port(20 + number));
+        let child = Command::new(&program)
+            .arg("worker")
+            .arg(&id)
+            .arg(address.to_string())
+            .spawn();
+        let child = child.map_err(|err| err.to_string())?;
+        lock(&PROCESSES).insert(child.id());
+        let worker = Arc::new(Worker {
+            id,
+            service: "llm-a".to_owned(),
+            version: "v1".to_owned(),
+            address,
+            store: lab.store.clone(),
+            sequence: AtomicU64::new(0),
+            born: unix_ms(),
+            is_beating: Arc::new(AtomicBool::new(true)),
+        });
+        worker.beat();
+        workers.push((child, worker));
+    }
+    let played = play_empty_stream(lab, &mut workers, EVENTS);
+    for (child, _) in &mut workers {
+        let _ = child.kill();
+        let _ = child.wait();
+        lock(&PROCESSES).remove(&child.id());
+    }
+    played
+}
+
+fn play_empty_stream(
+    lab: &Lab,
+    workers: &mut [(Child, Arc<Worker>)],
+    events: u64,
+) -> Result<bool, String> {
+    let route = |prefix, resumable| RouteText {
+        prefix,
+        kind: "streaming",
+        service: "llm-a",
+        timeout_ms: 12_000,
+        attempts: 2,
+        resumable,
+    };
+    let tenants = [("dairy", "key-1", Some(1_000_000))];
+    let routes = [route("/plain/", false), route("/resumed/", true)];
+    lab.store.put(
+        "keyed.op",
+        "config",
+        &config_text(10, &routes, &["llm-a"], &tenants),
+    );
+    let gateways = lab.start_gateways(2)?;
+    let broken = AtomicUsize::new(0);
+    let whole = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for client in 0..24_usize {
+            let (gateways, broken, whole) = (&gateways, &broken, &whole);
+            scope.spawn(move || {
+                sleep_ms(client as u64 * 20);
+                let target = if client % 2 == 0 { "/plain/x" } else { "/resumed/x" };
+                let id = format!("c{client}");
+                let headers = [("Model", "m".to_owned()), ("Token-Usage", format!("100,{}", events * STRIDE))];
+                let call = Call { method: "POST", target, id: &id, key: "key-1", deadline_ms: 12_000, headers: &headers, body: b"prompt" };
+                let Some(answer) = call.run(gateways[client % 2].callers) else {
+                    lab.record.note(format!("client {id} got no answer"));
+                    return;
+                };
+                lab.record.note(format!("client {id} {target} got {} stamp '{}' end {:?}, {} events of {events}", answer.status, answer.stamp, answer.end, answer.events));
+                if answer.status != 200 || answer.end != BodyEnd::Whole {
+                    return;
+                }
+                if answer.events == events {
+                    whole.fetch_add(1, Ordering::AcqRel);
+                } else if answer.events == 0 {
+                    broken.fetch_add(1, Ordering::AcqRel);
+                    lab.record.note(format!("broken: the stream of {id} ends as complete before its first piece"));
+                }
+            });
+        }
+        if lab.trouble {
+            sleep_ms(600);
+            let (child, worker) = &mut workers[0];
+            let _ = child.kill();
+            worker.is_beating.store(false, Ordering::Release);
+            lab.record.note(format!("worker {} crashes", worker.id));
+        }
+    });
+    let (broken, whole) =
+        (broken.load(Ordering::Acquire), whole.load(Ordering::Acquire));
+    lab.record.say(format!(
+        "{whole} streams are whole, {broken} end as complete without any piece"
+    ));
+    if whole == 0 {
+        return Err("no stream was whole".to_owned());
+    }
+    Ok(broken == 0)
+}
+
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
+    if let [mode, id, address] = words.as_slice()
+        && mode == "worker"
+    {
+        return run_worker(id, address);
+    }
     let case = words.first().cloned().unwrap_or_default();
     let folder = PathBuf::from(words.get(1).map_or(".", String::as_str));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -1931,6 +2081,7 @@
         "repeated-order" => repeated_order(&lab),
         "spoiled-answers" => spoiled_answers(&lab),
         "late-entry" => late_entry(&lab),
+        "empty-stream" => empty_stream(&lab),
         _ => Err(format!("no case {case}")),
     };
     let code = match &held {
