Review: a stale machine completes a bad version that was taken back

Cause: the status of a newer order counts as none for a machine that still drives the order before it, and is replaced; the machine then takes its own verdict for that of the newer order.

Change: case 12 has a version that turns bad later, on one route, in place of a good one that is taken back. It shows EXPOSURE, a rule by its name.

--- a/review/lab-3.rs
+++ b/review/lab-3.rs
@@ -1341,21 +1341,54 @@
     Ok(address)
 }
 
-/// Duty: an order for a version move whose answer was lost is written again,
-/// while a machine is cut off from the store.
+/// EXPOSURE: an order for a version move whose answer was lost is written
+/// again, while a machine is cut off from the store and the others. The
+/// version turns bad later, on one route only.
+///
+/// What the machine does first when the cut heals varies, so that a round in
+/// which the rule held is played again.
 fn repeated_order(lab: &Lab) -> Result<bool, String> {
+    const ROUNDS: u32 = 3;
+    for round in 1..=ROUNDS {
+        lab.record.say(format!("round {round}"));
+        let folder = lab.folder.join(format!("round-{round}"));
+        let store = fs::create_dir_all(&folder).and_then(|()| Store::start(2));
+        let store = store.map_err(|err| err.to_string())?;
+        let (record, trouble) = (lab.record.clone(), lab.trouble);
+        let own = Lab { record, folder, trouble, store };
+        if !play_repeated_order(&own, round)? {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+fn play_repeated_order(lab: &Lab, round: u32) -> Result<bool, String> {
     const DURATION_S: u64 = 10;
     /// From the first write of the order to the cut, and to the second write.
     const CUT_AFTER: Duration = Duration::from_millis(150);
     const REPEATED_AFTER: Duration = Duration::from_millis(1_000);
     /// From the second write to the end of the cut, which lasts 10.7 s.
     const HEALED_AFTER: Duration = Duration::from_millis(9_830);
+    /// From the last write of the order until v2 turns bad.
+    const BAD_AFTER: Duration = Duration::from_millis(5_500);
+    /// From `rolled_back` to the drain of the new workers.
+    const DRAINED_AFTER: Duration = Duration::from_millis(5_000);
+    const ROLLBACK: Duration = Duration::from_millis(5_000);
+    // Whether the answers of v2 are bad on the route `/q/`.
+    let is_bad = Arc::new(AtomicBool::new(false));
+    // The bad answers of v2, and all requests that it ran.
+    let bad: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let at_new: Arc<Mutex<BTreeSet<String>>> = Arc::default();
     let stopped: Arc<Mutex<BTreeSet<String>>> = Arc::default();
     let mut workers = Vec::new();
     for (number, version) in ["v1", "v1", "v2", "v2"].into_iter().enumerate() {
         let id = format!("i-{version}-{number}");
         let (own, record, stopped) =
             (id.clone(), lab.record.clone(), stopped.clone());
+        let (is_bad, bad, at_new) =
+            (is_bad.clone(), bad.clone(), at_new.clone());
+        let turns = AtomicU64::new(0);
         let worker = start_version(
             &id,
             "llm-a",
@@ -1366,28 +1399,44 @@
                 if lock(&stopped).contains(&own) {
                     return false;
                 }
-                record.note(format!(
-                    "worker {own} runs {}",
-                    request.header("attempt-id")
-                ));
+                let attempt = request.header("attempt-id");
+                record.note(format!("worker {own} runs {attempt}"));
+                if version == "v2" {
+                    lock(&at_new).insert(attempt.to_owned());
+                }
+                let fails = version == "v2"
+                    && request.path().starts_with("/q/")
+                    && is_bad.load(Ordering::Acquire)
+                    && turns.fetch_add(1, Ordering::AcqRel) % 2 == 0;
+                if fails {
+                    sleep_ms(30);
+                    record.note(format!("worker {own} fails {attempt}"));
+                    lock(&bad).push(Instant::now());
+                    let stamp = format!("s-{own}");
+                    let headers = [
+                        ("Attempt-Id", attempt),
+                        ("Server-Stamp", stamp.as_str()),
+                    ];
+                    return wire.answer(500, &headers, b"failed");
+                }
                 stream_answer(request, wire, &own, ms(30), ms(2))
             },
         );
         workers.push(worker.map_err(|err| err.to_string())?);
     }
-    let route = RouteText {
-        prefix: "/r/",
+    let route = |prefix| RouteText {
+        prefix,
         kind: "streaming",
         service: "llm-a",
         timeout_ms: 15_000,
-        attempts: 2,
-        resumable: true,
+        attempts: 1,
+        resumable: false,
     };
     let tenants = [("dairy", "key-1", Some(50_000_000))];
     lab.store.put(
         "keyed.op",
         "config",
-        &config_text(10, &[route], &["llm-a"], &tenants),
+        &config_text(10, &[route("/r/"), route("/q/")], &["llm-a"], &tenants),
     );
     let is_cut = Arc::new(AtomicBool::new(false));
     let cut_store =
@@ -1436,32 +1485,44 @@
     let order = format!(
         "{{\"service\":\"llm-a\",\"target\":\"v2\",\"durationS\":{DURATION_S}}}"
     );
+    // A request: when it was sent, and to which machine.
+    let sent: Mutex<BTreeMap<String, (Instant, usize)>> = Mutex::default();
     let (asked, refused) = (AtomicUsize::new(0), AtomicUsize::new(0));
     let mut at_deadline = String::new();
     thread::scope(|scope| {
-        for client in 0..8_usize {
+        for client in 0..24_usize {
             let (gateways, done, consumed) = (&gateways, &done, &consumed);
-            let (asked, refused) = (&asked, &refused);
+            let (asked, refused, sent) = (&asked, &refused, &sent);
             scope.spawn(move || {
+                // Those of the route `/q/` are at edge-2 and edge-3 first. A
+                // client keeps to its machine until that refuses it.
+                let is_other = client % 3 > 0;
+                let mut machine =
+                    if is_other { client % 3 } else { client / 3 % 3 };
+                let target = if is_other { "/q/x" } else { "/r/x" };
                 for number in 0.. {
                     if done.load(Ordering::Acquire) {
                         return;
                     }
-                    let address = gateways[1 + client % 2].callers;
+                    let id = format!("r{round}-c{client}-{number}");
+                    lock(sent).insert(id.clone(), (Instant::now(), machine));
                     let status = take_stream(
                         lab,
                         consumed,
-                        address,
-                        "/r/x",
-                        &format!("c{client}-{number}"),
+                        gateways[machine].callers,
+                        target,
+                        &id,
                         (200, 60),
                     );
                     asked.fetch_add(1, Ordering::AcqRel);
                     if status != 200 {
                         refused.fetch_add(1, Ordering::AcqRel);
-                        sleep_ms(100);
+                        sleep_ms(50);
+                    }
+                    if status == 503 || status == 0 {
+                        machine = (machine + 1) % gateways.len();
                     }
-                    sleep_ms(100);
+                    sleep_ms(50);
                 }
             });
         }
@@ -1491,6 +1552,7 @@
                     let is_rolled_back = state == "rolled_back";
                     states.push(state);
                     if is_completed {
+                        drained_at = None;
                         for worker in &workers[..2] {
                             worker.is_beating.store(false, Ordering::Release);
                             lock(&stopped).insert(worker.id.clone());
@@ -1500,7 +1562,7 @@
                             .note("the operator stops the workers of v1");
                     }
                     if is_rolled_back {
-                        drained_at = Some(Instant::now() + ms(2_000));
+                        drained_at = Some(Instant::now() + DRAINED_AFTER);
                     }
                 }
                 drop(states);
@@ -1533,6 +1595,11 @@
             lab.record.note(
                 "the operator writes the order again, the answer arrives",
             );
+        }
+        thread::sleep(BAD_AFTER.saturating_sub(ordered_at.elapsed()));
+        is_bad.store(true, Ordering::Release);
+        lab.record.note("v2 turns bad on the route /q/");
+        if lab.trouble {
             thread::sleep(HEALED_AFTER.saturating_sub(ordered_at.elapsed()));
             is_cut.store(false, Ordering::Release);
             lab.record.say(format!(
@@ -1550,7 +1617,7 @@
             "{:9.4} the deadline of the order: {text}",
             lab.record.started.elapsed().as_secs_f64()
         ));
-        thread::sleep(ms(18_000).saturating_sub(ordered_at.elapsed()));
+        thread::sleep(ms(20_000).saturating_sub(ordered_at.elapsed()));
         asked.store(0, Ordering::Release);
         refused.store(0, Ordering::Release);
         sleep_ms(2_000);
@@ -1558,11 +1625,33 @@
     });
     let states = lock(&states).clone();
     lab.record.say(format!(
-        "states {states:?}; of the last {} requests {} were not served",
+        "states {states:?}, {at_deadline} at the deadline; of the last {} requests {} were not served",
         asked.load(Ordering::Acquire),
         refused.load(Ordering::Acquire)
     ));
-    Ok(at_deadline == "completed")
+    let mut bad = lock(&bad).clone();
+    bad.sort();
+    let at_new = lock(&at_new).clone();
+    let mut late: BTreeMap<String, u32> = BTreeMap::new();
+    if let Some(fiftieth) = bad.get(49) {
+        let at = fiftieth.duration_since(lab.record.started).as_secs_f64();
+        lab.record.say(format!("{at:9.4} the 50th bad answer of v2"));
+        for (id, (sent_at, machine)) in lock(&sent).iter() {
+            if !at_new.contains(id) || *sent_at <= *fiftieth + ROLLBACK {
+                continue;
+            }
+            let name = &gateways[*machine].name;
+            let after = sent_at.duration_since(*fiftieth).as_millis();
+            lab.record.note(format!("broken: {id} was sent to {name} {after} ms after the 50th bad answer and reached v2"));
+            *late.entry(name.clone()).or_default() += 1;
+        }
+    }
+    lab.record.say(format!(
+        "{} requests reached v2, {} bad answers; sent later than 5 s after the 50th: {late:?}",
+        at_new.len(),
+        bad.len()
+    ));
+    Ok(late.is_empty())
 }
 
 /// How a faulty worker spoils an answer.
@@ -1793,7 +1882,7 @@
     }
     let sent: Mutex<Vec<Sent>> = Mutex::default();
     thread::scope(|scope| {
-        for client in 0..12_usize {
+        for client in 0..24_usize {
             let (sent, gateways, stop) = (&sent, &gateways, &stop);
             scope.spawn(move || {
                 for number in 0.. {
