A line and a counter for each refused message

Cause: nothing told of an answer whose bytes were no valid message but the reason inside attempt_failed, and nothing at all of one that came from the store or reached a listener beside the calls. Whether the end of a message was found wrongly or its bytes were refused could only be told by recording the bytes.

Change: message_malformed with the kind of message and the reason, where each request and each answer is read, and the metrics magnolia_malformed_requests and magnolia_malformed_answers.

--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -27,7 +27,10 @@
     chunked::{BodyPiece, ChunkedBody},
     socket::StreamSocket,
 };
-use crate::memory::{MemoryLease, MemoryShortage, SMALL_REQUEST_BYTES};
+use crate::{
+    memory::{MemoryLease, MemoryShortage, SMALL_REQUEST_BYTES},
+    telemetry::{MessageKind, note_malformed},
+};
 
 /// The end of a line.
 const LINE_END: &[u8] = b"\r\n";
@@ -489,6 +492,13 @@
     }
 }
 
+/// Logs and counts a fault if the bytes were not a valid message.
+pub(super) fn note_if_malformed(kind: MessageKind, fault: &HttpFault) {
+    if let HttpFault::Malformed { reason } = fault {
+        note_malformed(kind, reason);
+    }
+}
+
 /// Determines from the headers how the length of a body is given.
 ///
 /// # Errors
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -26,10 +26,12 @@
 use super::{
     HttpClient, HttpConnection, HttpFault, MessageLimits,
     chunked::ChunkedBody,
-    connection::{BodyLength, BoundedReader, READ_SIZE, body_length},
+    connection::{
+        BodyLength, BoundedReader, READ_SIZE, body_length, note_if_malformed,
+    },
     encode::{payload_of, write_message},
 };
-use crate::domain::MAX_TIME;
+use crate::{domain::MAX_TIME, telemetry::MessageKind};
 
 /// Percentage by which the idle timeout announced by the remote end is
 /// shortened. Near the end of that timeout the remote end may close the
@@ -144,6 +146,16 @@
     /// After any fault, the remote end may or may not have acted on the
     /// request.
     pub async fn next_reply(
+        self,
+        deadline: Instant,
+    ) -> Result<HttpReply, HttpFault> {
+        let reply = self.read_reply(deadline).await;
+        reply.inspect_err(|fault| {
+            note_if_malformed(MessageKind::Answer, fault);
+        })
+    }
+
+    async fn read_reply(
         mut self,
         deadline: Instant,
     ) -> Result<HttpReply, HttpFault> {
@@ -354,6 +366,7 @@
         let chunk = match self.read_reserved(deadline).await {
             Err(HttpFault::TimedOut) => return Err(HttpFault::TimedOut),
             Err(fault) => {
+                note_if_malformed(MessageKind::Answer, &fault);
                 self.state = BodyState::Broken;
                 return Err(fault);
             }
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -14,10 +14,10 @@
 
 use super::{
     HttpConnection, HttpFault, MessageLimits, RECEIVE_BUFFER_BYTES,
-    connection::{BoundedReader, body_length, write_all},
+    connection::{BoundedReader, body_length, note_if_malformed, write_all},
     encode::{LAST_CHUNK, encode_stream_head, payload_of, write_message},
 };
-use crate::memory::MemoryPool;
+use crate::{memory::MemoryPool, telemetry::MessageKind};
 
 /// Longest time for which the rest of a refused request is read.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -130,7 +130,8 @@
             other => other?,
         }
         let request = self.read_request().await;
-        if request.is_err() {
+        if let Err(fault) = &request {
+            note_if_malformed(MessageKind::Request, fault);
             self.reader.discard();
         }
         request
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -69,6 +69,8 @@
     ThreadLost = "thread_lost" ["fault"];
     /// A connection could not be accepted.
     AcceptFailed = "accept_failed" ["fault"];
+    /// The bytes of a request or of an answer are not a valid message.
+    MessageMalformed = "message_malformed" ["kind", "fault"];
     /// A message was refused before it was a request of an account.
     RequestRefused = "request_refused" [
         "request_id", "kind", "catalog", "catalog_age_ms",
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,7 +7,7 @@
     Opts, Registry, TextEncoder,
 };
 
-use super::PeerMetrics;
+use super::{MessageKind, PeerMetrics, malformed_count};
 use crate::runtime::panic_count;
 
 /// Client accounts with label values of their own. Further ones share the
@@ -63,6 +63,10 @@
     pub limited_upstreams: IntGauge,
     /// Panics of tasks.
     task_panics: IntGauge,
+    /// Requests that were not valid messages.
+    malformed_requests: IntGauge,
+    /// Answers that were not valid messages.
+    malformed_answers: IntGauge,
     /// The era of the store, which rises when it is restored from a copy.
     pub store_era: IntGauge,
     /// Whether the store of prepaid tokens answers.
@@ -178,6 +182,14 @@
                 "magnolia_limited_upstreams",
                 "Upstreams that name a limit of requests per second.",
             ),
+            malformed_requests: gauge(
+                "magnolia_malformed_requests",
+                "Requests that were refused as no valid messages.",
+            ),
+            malformed_answers: gauge(
+                "magnolia_malformed_answers",
+                "Answers that were refused as no valid messages.",
+            ),
             task_panics: gauge(
                 "magnolia_task_panics",
                 "Panics of tasks, each of which ended alone.",
@@ -220,6 +232,8 @@
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.task_panics.clone()),
+            Box::new(self.malformed_requests.clone()),
+            Box::new(self.malformed_answers.clone()),
         ];
         for collector in collectors {
             // Every name above is used once.
@@ -293,6 +307,10 @@
     pub fn render(&self) -> String {
         let mut text = Vec::new();
         self.task_panics.set(panic_count() as i64);
+        let requests = malformed_count(MessageKind::Request);
+        self.malformed_requests.set(requests as i64);
+        let answers = malformed_count(MessageKind::Answer);
+        self.malformed_answers.set(answers as i64);
         let families = self.registry.gather();
         // Writing to memory cannot fail.
         let _ = TextEncoder::new().encode(&families, &mut text);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -8,6 +8,7 @@
 mod dependency;
 mod events;
 mod logging;
+mod malformed;
 mod metrics;
 mod peers;
 mod pipe;
@@ -18,6 +19,7 @@
     dependency::DependencyLog,
     events::{COMMON_FIELDS, LineFault, LogEvent, check_line},
     logging::{LogContext, flush_logging, init_logging},
+    malformed::{MessageKind, malformed_count, note_malformed},
     metrics::RouterMetrics,
     peers::PeerMetrics,
     pipe::LogPipe,
