--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -25,6 +25,7 @@
 
 use super::{
     chunked::{BodyPiece, ChunkedBody},
+    frame::{FrameFault, LINE_END, LineScanner},
     socket::StreamSocket,
 };
 use crate::{
@@ -32,12 +33,6 @@
     telemetry::{MessageKind, note_malformed},
 };
 
-/// The end of a line.
-const LINE_END: &[u8] = b"\r\n";
-
-/// The end of a head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
 /// Maximum size in bytes of any head. The decoder panics on a header name
 /// of 64 KiB.
 const MAX_HEAD_BYTES: usize = 64 * 1024 - 1;
@@ -120,6 +115,12 @@
     }
 }
 
+impl From<FrameFault> for HttpFault {
+    fn from(fault: FrameFault) -> HttpFault {
+        HttpFault::Malformed { reason: fault.to_string() }
+    }
+}
+
 impl From<DecodeError> for HttpFault {
     fn from(err: DecodeError) -> HttpFault {
         HttpFault::Malformed { reason: err.to_string() }
@@ -198,8 +199,8 @@
     /// The socket of `read`, which is open for as long as that lives.
     pub(super) socket: StreamSocket,
     pub(super) buffer: BytesMut,
-    /// Bytes at the start of the buffer that hold no end of a head.
-    pub(super) searched: usize,
+    /// Searches the buffer for the end of a head.
+    pub(super) scanner: LineScanner,
     /// Bytes read in this turn.
     turn_bytes: usize,
     /// The memory of the current request, if there is one.
@@ -235,7 +236,7 @@
             read,
             socket,
             buffer: BytesMut::new(),
-            searched: 0,
+            scanner: LineScanner::new(),
             turn_bytes: 0,
             lease: None,
             body_bytes: 0,
@@ -337,17 +338,6 @@
         Ok(())
     }
 
-    /// Returns the number of bytes before the end of the head at the start of
-    /// the buffer, if its end was read.
-    fn find_head_end(&mut self) -> Option<usize> {
-        // The end may begin in the bytes that were searched.
-        let from = self.searched.saturating_sub(HEAD_END.len() - 1);
-        let from = from.min(self.buffer.len());
-        let end = memchr::memmem::find(&self.buffer[from..], HEAD_END);
-        self.searched = if end.is_some() { 0 } else { self.buffer.len() };
-        end.map(|end| from + end)
-    }
-
     /// Reads the head of a message.
     pub(super) async fn read_head<D>(
         &mut self,
@@ -359,24 +349,30 @@
         D: Decoder<Error = DecodeError>,
     {
         let limit = limits.head_bytes.min(MAX_HEAD_BYTES);
-        loop {
-            // The decoder only looks for the end of the head, so the limit is
-            // checked here, on the bytes before that end.
-            let end = self.find_head_end();
-            let head_bytes = end.unwrap_or(self.buffer.len());
+        let end = loop {
+            let end = self.scanner.find_head(&self.buffer)?;
+            // The empty line at the end, and the end of the line before it,
+            // do not count.
+            let head_bytes = end.map_or(self.buffer.len(), |end| {
+                end.saturating_sub(2 * LINE_END.len())
+            });
             if head_bytes > limit {
                 return Err(HttpFault::HeadTooLarge { limit });
             }
-            if end.is_some() {
-                if let Decoded::Some(head) =
-                    decoder.decode(&mut self.buffer)?
-                {
-                    return Ok(head);
-                }
-                let reason = "incomplete head".to_owned();
-                return Err(HttpFault::Malformed { reason });
+            if let Some(end) = end {
+                break end;
             }
             self.fill(deadline).await?;
+        };
+        // The decoder looks for the end of the head itself. It gets no byte
+        // behind the one that was found, and has to take all before it.
+        let mut head = self.buffer.split_to(end);
+        match decoder.decode(&mut head)? {
+            Decoded::Some(decoded) if head.is_empty() => Ok(decoded),
+            _ => {
+                let reason = "incomplete head".to_owned();
+                Err(HttpFault::Malformed { reason })
+            }
         }
     }
 
@@ -421,11 +417,8 @@
                 BodyPiece::End => return Ok(None),
                 BodyPiece::Incomplete => {}
             }
-            // The decoder waits for a whole chunk and the line end behind it
-            // in the buffer, whatever size the chunk declares.
-            if self.buffer.len()
-                > limits.body_bytes.saturating_add(LINE_END.len())
-            {
+            let most_bytes = limits.body_bytes.saturating_add(LINE_END.len());
+            if body.awaits_data() && self.buffer.len() > most_bytes {
                 let limit = limits.body_bytes;
                 return Err(HttpFault::BodyTooLarge { limit });
             }
--- a/src/adapters/http/intake.rs
+++ b/src/adapters/http/intake.rs
@@ -7,6 +7,7 @@
 use super::{
     HttpFault, RECEIVE_BUFFER_BYTES,
     connection::{BoundedReader, READ_SIZE, RESERVE_BYTES},
+    frame::LineScanner,
     socket::LARGE_RECEIVE_BUFFER_BYTES,
 };
 use crate::memory::MemoryLease;
@@ -61,7 +62,7 @@
     /// Drops everything that was read.
     pub(super) fn discard(&mut self) {
         self.buffer = BytesMut::new();
-        self.searched = 0;
+        self.scanner = LineScanner::new();
         self.end_lease();
     }
 
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -12,6 +12,7 @@
 mod client;
 mod connection;
 mod encode;
+mod frame;
 mod intake;
 mod reply;
 mod server;
--- a/standins/tests/bad_input.rs
+++ b/standins/tests/bad_input.rs
@@ -49,6 +49,17 @@
     .into_bytes()
 }
 
+/// A request whose end is not clear, and a sound one behind it.
+fn unclear(rest: &str) -> Vec<u8> {
+    let body = "{\"model\":\"assistant\",\"max_tokens\":2,\"messages\":\
+                [{\"role\":\"user\",\"content\":\"hi\"}]}";
+    let auth = format!("authorization: Bearer {}\r\n", key_of(BUDGET));
+    let line = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n";
+    let mut bytes = format!("{line}{auth}{rest}").into_bytes();
+    bytes.extend(post(&auth, body));
+    bytes
+}
+
 #[test]
 fn wrong_input_gets_a_clear_error_and_reserves_nothing() {
     run(async {
@@ -97,6 +108,27 @@
             ("long body", post(&auth, &long_body), 413, "body_too_large"),
             ("two lengths", post(&twice, good), 400, "bad_request"),
             ("length and chunks", post(&both, good), 400, "bad_request"),
+            (
+                "no size of a chunk",
+                unclear("transfer-encoding: chunked\r\n\r\n\r\n\r\n"),
+                400,
+                "bad_request",
+            ),
+            (
+                "no size of the last chunk",
+                unclear(
+                    "transfer-encoding: chunked\r\n\r\n2\r\n{}\r\n\r\n\
+                     \r\n",
+                ),
+                400,
+                "bad_request",
+            ),
+            (
+                "bare line feeds",
+                unclear("content-length: 2\n\n{}"),
+                400,
+                "bad_request",
+            ),
             ("garbage", b"\x00\x01\x02\r\n\r\n".to_vec(), 400, "bad_request"),
             (
                 "no such path",
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -344,6 +344,19 @@
     },
     no_length = { "HTTP/1.1 200 X\r\n\r\nx" },
     interim_only = { "HTTP/1.1 100 X\r\n\r\n" },
+    bare_line_feed = { "HTTP/1.1 200 X\r\nContent-Length: 1\n\r\nx\r\n\r\n" },
+    bare_line_feeds = { "HTTP/1.1 200 X\nContent-Length: 1\n\nx\r\n\r\nx" },
+    no_chunk_size = {
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
+         1\r\nx\r\n\r\n\r\n"
+    },
+    no_first_chunk_size = {
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\r\n\r\n"
+    },
+    endless_trailers = {
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
+         1\r\nx\r\n0\r\nA: 1\r\n"
+    },
     invalid_trailer = {
         "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
          1\r\nx\r\n0\r\nA b: 1\r\n\r\n"
