--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -17,7 +17,7 @@
 
 use {
     bytes::Bytes,
-    http::{HeaderMap, Request, StatusCode, response},
+    http::{HeaderMap, Method, Request, StatusCode, response},
     monoio::{io::OwnedWriteHalf, net::TcpStream},
     monoio_http::h1::{codec::decoder::ResponseHeadDecoder, payload::Payload},
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
@@ -120,6 +120,8 @@
     /// Whether the remote end may respond before it has read the request,
     /// although all of it was written.
     has_long_body: bool,
+    /// Whether a response ends with its head.
+    is_head_only: bool,
 }
 
 impl SentRequest {
@@ -133,9 +135,17 @@
     ) -> SentRequest {
         let HttpConnection { reader, writer } = connection;
         let has_long_body = request.body().len() > READ_SIZE;
+        let is_head_only = request.method() == Method::HEAD;
         let write = RequestWrite::new(writer, request.map(payload_of));
-        let closes = false;
-        SentRequest { client, address, reader, write, closes, has_long_body }
+        SentRequest {
+            client,
+            address,
+            reader,
+            write,
+            closes: false,
+            has_long_body,
+            is_head_only,
+        }
     }
 
     /// Reads the head of the next response. Interim responses before it are
@@ -178,7 +188,12 @@
         head: response::Parts,
     ) -> Result<HttpReply, HttpFault> {
         let mut length = body_length(&head.headers)?;
-        if length == BodyLength::Absent && has_body(head.status) {
+        let has_body = !self.is_head_only && has_body(head.status);
+        if !has_body {
+            // The headers give the length that a body would have.
+            length = BodyLength::Absent;
+        }
+        if length == BodyLength::Absent && has_body {
             if !self.client.accepts_close_delimited {
                 let reason = "a response without a body length".to_owned();
                 return Err(HttpFault::Malformed { reason });
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -4,7 +4,7 @@
 
 use {
     bytes::{BufMut, Bytes, BytesMut},
-    http::{Response, header::CONNECTION, request},
+    http::{Method, Response, header::CONNECTION, request},
     monoio::{
         io::{AsyncWriteRent, OwnedWriteHalf},
         net::TcpStream,
@@ -72,6 +72,8 @@
     writer: OwnedWriteHalf<TcpStream>,
     has_begun: bool,
     closing: bool,
+    /// Whether the response ends with its head.
+    is_head_only: bool,
 }
 
 impl HttpConnection {
@@ -88,6 +90,7 @@
             writer: self.writer,
             has_begun: false,
             closing: false,
+            is_head_only: false,
         };
         (reader, responder)
     }
@@ -187,7 +190,16 @@
         self.has_begun
     }
 
-    /// Prepares the responder for the next response.
+    /// Prepares the responder for the response to a request.
+    ///
+    /// The response to a `HEAD` request is sent without a body, which the
+    /// caller would take for its next response.
+    pub fn begin(&mut self, request: &HttpRequest, closing: bool) {
+        self.is_head_only = request.head.method == Method::HEAD;
+        self.reset(closing);
+    }
+
+    /// Prepares the responder for another response to the same request.
     ///
     /// With `closing` the response has the header `Connection: close`, so
     /// that the caller does not send another request on the connection.
@@ -210,6 +222,9 @@
     ) -> Result<(), HttpFault> {
         self.has_begun = true;
         self.announce_close(&mut response);
+        if self.is_head_only {
+            response.body_mut().clear();
+        }
         let message = response.map(payload_of);
         write_message(&mut self.writer, message).await
     }
@@ -239,7 +254,7 @@
     /// Sends one chunk without delay.
     pub async fn send_chunk(&mut self, data: &[u8]) -> Result<(), HttpFault> {
         // A chunk of length 0 would end the body.
-        if data.is_empty() {
+        if data.is_empty() || self.is_head_only {
             return Ok(());
         }
         let mut frame = BytesMut::with_capacity(data.len() + 16);
@@ -251,6 +266,9 @@
 
     /// Sends the last chunk, which ends the body.
     pub async fn end_stream(&mut self) -> Result<(), HttpFault> {
+        if self.is_head_only {
+            return Ok(());
+        }
         write_all(&mut self.writer, Bytes::from_static(LAST_CHUNK)).await
     }
 }
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -68,7 +68,7 @@
         // Closing it without notice would lose a request that is already on
         // its way.
         let keep_alive = request.keeps_alive() && !core.is_leaving();
-        responder.reset(!keep_alive);
+        responder.begin(&request, !keep_alive);
         let is_usable =
             serve_request(core, request, &mut reader, &mut responder).await;
         reader.end_request();
--- a/src/process/listen.rs
+++ b/src/process/listen.rs
@@ -122,7 +122,7 @@
             }
         };
         let keep_alive = request.keeps_alive();
-        responder.reset(!keep_alive);
+        responder.begin(&request, !keep_alive);
         let response = answer(&request);
         if responder.send(response).await.is_err() || !keep_alive {
             return;
