--- a/src/adapters/http/connection.rs
+++ b/src/adapters/http/connection.rs
@@ -8,7 +8,7 @@
 use {
     bytes::{Bytes, BytesMut},
     http::{
-        HeaderMap,
+        HeaderMap, Version,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     monoio::{
@@ -496,10 +496,11 @@
 ///
 /// # Errors
 ///
-/// `Malformed` if the length is given twice or in two ways. Two
-/// implementations could then disagree on the end of the message, which
-/// allows request smuggling.
+/// `Malformed` if the length is given twice or in two ways, or by chunks in a
+/// version that has none. Two implementations could then disagree on the end
+/// of the message, which allows request smuggling.
 pub(super) fn body_length(
+    version: Version,
     headers: &HeaderMap,
 ) -> Result<BodyLength, HttpFault> {
     let malformed =
@@ -523,6 +524,9 @@
             if !value.as_bytes().eq_ignore_ascii_case(b"chunked") {
                 return malformed("unsupported Transfer-Encoding");
             }
+            if version < Version::HTTP_11 {
+                return malformed("Transfer-Encoding in HTTP/1.0");
+            }
             Ok(BodyLength::Chunked)
         }
         (Some(value), None) => {
--- a/src/adapters/http/reply.rs
+++ b/src/adapters/http/reply.rs
@@ -187,7 +187,7 @@
         mut self,
         head: response::Parts,
     ) -> Result<HttpReply, HttpFault> {
-        let mut length = body_length(&head.headers)?;
+        let mut length = body_length(head.version, &head.headers)?;
         let has_body = !self.is_head_only && has_body(head.status);
         if !has_body {
             // The headers give the length that a body would have.
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -146,7 +146,7 @@
         let decoder = RequestHeadDecoder;
         let head = self.reader.read_head(decoder, &self.limits, deadline);
         let head = head.await?;
-        let length = body_length(&head.headers)?;
+        let length = body_length(head.version, &head.headers)?;
         let body = self.reader.read_body(length, &self.limits, deadline);
         let body = body.await?;
         self.reader.body_bytes = body.len();
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -350,6 +350,10 @@
         "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
          1\r\nx\r\n\r\n\r\n"
     },
+    chunks_in_http_1_0 = {
+        "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\
+         1\r\nx\r\n0\r\n\r\n"
+    },
     no_first_chunk_size = {
         "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n\r\n\r\n"
     },
