DRAIN: what an upstream says of its leave outlives its registration

Callers saw: 502 for calls that must not run twice.

Cause: the announcement was kept as a property of the registration. Its removal forgot it, and without a registration it was not recorded. It was also tied to whichever incarnation was registered when the answer came, and a restart with an otherwise equal registration was no change.

Change: UpstreamHistory remembers by ID and start, apart from the entries, for 10 minutes behind the last record and for 2,048 IDs without a registration. A request knows the start of its upstream. Reports of other routers say whether the upstream itself has spoken; only then they outlive the registration.

Why it works: an incarnation that leaves never comes back, so its word is final; a later start is another incarnation and is used at once.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -123,6 +123,7 @@
             domain: String::new(),
             service: "assistant".to_owned(),
             version: "v1".to_owned(),
+            started_ms: 0,
             share: 4,
             limit: 128,
         })
--- a/src/adapters/peer/convert.rs
+++ b/src/adapters/peer/convert.rs
@@ -194,8 +194,9 @@
 impl From<Vec<UpstreamDeparture>> for wire::DeparturesAnswer {
     fn from(departures: Vec<UpstreamDeparture>) -> wire::DeparturesAnswer {
         let departures = departures.into_iter().map(|departure| {
-            let UpstreamDeparture { upstream, started_ms } = departure;
-            wire::Departure { upstream, started_ms }
+            let UpstreamDeparture { upstream, started_ms, is_announced } =
+                departure;
+            wire::Departure { upstream, started_ms, is_announced }
         });
         wire::DeparturesAnswer { departures: departures.collect() }
     }
@@ -204,8 +205,9 @@
 impl From<wire::DeparturesAnswer> for Vec<UpstreamDeparture> {
     fn from(answer: wire::DeparturesAnswer) -> Vec<UpstreamDeparture> {
         let departures = answer.departures.into_iter().map(|departure| {
-            let wire::Departure { upstream, started_ms } = departure;
-            UpstreamDeparture { upstream, started_ms }
+            let wire::Departure { upstream, started_ms, is_announced } =
+                departure;
+            UpstreamDeparture { upstream, started_ms, is_announced }
         });
         departures.collect()
     }
--- a/src/adapters/peer/generated.rs
+++ b/src/adapters/peer/generated.rs
@@ -155,6 +155,9 @@
     /// When the upstream started, in milliseconds since the epoch.
     #[prost(uint64, tag = "2")]
     pub started_ms: u64,
+    /// Whether the upstream itself has said that it leaves.
+    #[prost(bool, tag = "3")]
+    pub is_announced: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvidenceCall {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -371,6 +371,7 @@
                 domain: entry.domain.clone(),
                 service: entry.service.clone(),
                 version: entry.version.clone(),
+                started_ms: entry.started_ms,
                 share: share.max(MIN_SHARE),
                 limit: u32::MAX,
             });
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -128,7 +128,8 @@
     };
     let mut has_changed = false;
     for departure in &departures {
-        if core.roster.borrow_mut().apply_departure(departure) {
+        let now = Instant::now();
+        if core.roster.borrow_mut().apply_departure(departure, now) {
             has_changed = true;
             log::info!(
                 event:% = LogEvent::UpstreamDeparted,
@@ -193,6 +194,9 @@
                     RosterChange::Retained { until, .. } => {
                         retained_until = Some(until);
                     }
+                    RosterChange::Overruled { .. } => {
+                        self.metrics.note_event("registration_overruled");
+                    }
                     RosterChange::Outdated { .. } => {}
                 }
             }
@@ -210,7 +214,8 @@
     pub(super) fn record_leaving(&self, upstream: &AssignedUpstream) {
         let now = Instant::now();
         let mut roster = self.roster.borrow_mut();
-        let was_in_use = roster.announce_departure(&upstream.vm, now);
+        let AssignedUpstream { vm, started_ms, .. } = upstream;
+        let was_in_use = roster.announce_departure(vm, *started_ms, now);
         drop(roster);
         if !was_in_use {
             return;
@@ -293,6 +298,11 @@
                      register again"
                 );
             }
+            RosterChange::Overruled { id, started_ms } => log::info!(
+                event:% = LogEvent::RegistrationOverruled,
+                upstream = id.as_str(), started_ms = *started_ms;
+                "registration ignored: the upstream has said that it leaves"
+            ),
             RosterChange::Outdated { id, started_ms, sequence } => log::info!(
                 event:% = LogEvent::RegistrationOutdated,
                 upstream = id.as_str(),
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -16,6 +16,7 @@
 //! measured cost.
 
 mod directory;
+mod history;
 mod outage;
 mod roster;
 mod table;
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -12,20 +12,13 @@
     time::{Duration, Instant},
 };
 
-use super::OutageTracker;
+use super::{OutageTracker, history::UpstreamHistory};
 use crate::ports::{UpstreamDeparture, UpstreamEntry, UpstreamEvent};
 
 /// Live upstreams whose entries expired in an outage have registered again
 /// within this time after it.
 const REREGISTRATION_WINDOW: Duration = Duration::from_secs(2);
 
-/// Time for which this router tells others that an upstream has left.
-const DEPARTURE_LIFETIME: Duration = Duration::from_secs(10);
-
-/// The version of an entry: the start time of its upstream in milliseconds
-/// and the sequence number of the entry since then.
-type EntryVersion = (u64, u64);
-
 #[derive(Clone, Debug)]
 struct RosterEntry {
     entry: UpstreamEntry,
@@ -50,6 +43,13 @@
         /// When the retention ends.
         until: Instant,
     },
+    /// The registration offers an upstream that has said that it leaves.
+    Overruled {
+        /// The upstream.
+        id: String,
+        /// When the upstream started, in milliseconds since the epoch.
+        started_ms: u64,
+    },
     /// The registration is older than the newest one known.
     Outdated {
         /// The upstream.
@@ -74,16 +74,9 @@
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
     entries: BTreeMap<String, RosterEntry>,
-    versions: BTreeMap<String, EntryVersion>,
-    /// Upstreams that have said in an answer that they leave, and when they
-    /// had started. Their registrations may say otherwise for a while.
-    announced: BTreeMap<String, u64>,
-    /// Upstreams that have left: when they left, and when they had started.
-    departed: BTreeMap<String, (Instant, u64)>,
+    /// What is known of upstreams beside their entries.
+    history: UpstreamHistory,
     read_at: Option<Instant>,
-    /// The newest entries of upstreams that had left before the registry was
-    /// restored. A copy may list them again.
-    bygone: BTreeMap<String, EntryVersion>,
     /// Until when entries that the current read removes are retained.
     retain_until: Option<Instant>,
 }
@@ -117,63 +110,66 @@
         self.retain_until =
             recovered.map(|recovered| recovered + REREGISTRATION_WINDOW);
         self.read_at = Some(now);
+        let entries = &self.entries;
+        self.history.forget_old(now, |id| entries.contains_key(id));
+    }
+
+    /// Returns the number of upstreams that are remembered, whether or not
+    /// they are registered.
+    pub fn remembered_count(&self) -> usize {
+        self.history.len()
     }
 
     /// Returns the upstreams that have left recently, for routers that cannot
     /// read the registry.
     pub fn departures(&self, now: Instant) -> Vec<UpstreamDeparture> {
-        let mut departures = Vec::new();
-        for (upstream, (at, started_ms)) in &self.departed {
-            if now.saturating_duration_since(*at) < DEPARTURE_LIFETIME {
-                let (upstream, started_ms) = (upstream.clone(), *started_ms);
-                departures.push(UpstreamDeparture { upstream, started_ms });
-            }
-        }
-        departures
+        self.history.departures(now)
     }
 
     /// Applies another router's report that an upstream has left; returns
     /// whether it was in use.
-    pub fn apply_departure(&mut self, departure: &UpstreamDeparture) -> bool {
-        let known = self.entries.get_mut(&departure.upstream);
-        let known = known.filter(|known| {
-            known.entry.started_ms <= departure.started_ms
-                && !known.entry.is_leaving
-        });
-        let Some(known) = known else {
-            return false;
-        };
-        known.entry.is_leaving = true;
-        true
+    ///
+    /// A report that its registration was removed holds until it is read
+    /// here again. What the upstream itself has said holds for good.
+    pub fn apply_departure(
+        &mut self,
+        departure: &UpstreamDeparture,
+        now: Instant,
+    ) -> bool {
+        let UpstreamDeparture { upstream, started_ms, is_announced } =
+            departure;
+        if *is_announced {
+            self.history.record_announcement(upstream, *started_ms, now);
+        }
+        self.mark_leaving(upstream, *started_ms)
     }
 
-    /// Records that an upstream has said in an answer that it leaves; returns
-    /// whether it was in use.
-    pub fn announce_departure(&mut self, id: &str, now: Instant) -> bool {
+    /// Records that an upstream, which had started at `started_ms`, has said
+    /// in an answer that it leaves; returns whether it was in use.
+    ///
+    /// Its registration may be gone already, and may come back for a while.
+    pub fn announce_departure(
+        &mut self,
+        id: &str,
+        started_ms: u64,
+        now: Instant,
+    ) -> bool {
+        self.history.record_announcement(id, started_ms, now);
+        self.history.record_departure(id, started_ms, now);
+        self.mark_leaving(id, started_ms)
+    }
+
+    /// Marks the entry of an upstream as leaving, unless it has started again
+    /// since; returns whether it was in use.
+    fn mark_leaving(&mut self, id: &str, started_ms: u64) -> bool {
         let Some(known) = self.entries.get_mut(id) else {
             return false;
         };
-        let started_ms = known.entry.started_ms;
-        let was_in_use = !known.entry.is_leaving;
+        if known.entry.started_ms > started_ms || known.entry.is_leaving {
+            return false;
+        }
         known.entry.is_leaving = true;
-        self.announced.insert(id.to_owned(), started_ms);
-        self.record_departure(id, started_ms, now);
-        was_in_use
-    }
-
-    /// Returns whether the upstream of an entry has said that it leaves.
-    fn has_announced(&self, entry: &UpstreamEntry) -> bool {
-        let started_ms = self.announced.get(&entry.id);
-        started_ms.is_some_and(|known| *known >= entry.started_ms)
-    }
-
-    /// Records that an upstream leaves or has left.
-    fn record_departure(&mut self, id: &str, started_ms: u64, now: Instant) {
-        let fresh = |(at, _): &mut (Instant, u64)| {
-            now.saturating_duration_since(*at) < DEPARTURE_LIFETIME
-        };
-        self.departed.retain(|_, departure| fresh(departure));
-        self.departed.insert(id.to_owned(), (now, started_ms));
+        true
     }
 
     /// Applies an event and returns the changes that matter to requests.
@@ -203,45 +199,38 @@
     /// Prepares for a registry that was restored from a copy: it may list
     /// upstreams that have left, and lack those that have joined.
     fn begin_era(&mut self, now: Instant) {
-        for (id, version) in &self.versions {
-            if !self.entries.contains_key(id) {
-                self.bygone.insert(id.clone(), *version);
-            }
-        }
+        let entries = &self.entries;
+        self.history.begin_era(|id| entries.contains_key(id));
         let until = now + REREGISTRATION_WINDOW;
         self.retain_until = self.retain_until.max(Some(until));
     }
 
-    /// Returns whether an entry is the one with which an upstream had left
-    /// before the registry was restored.
-    fn is_bygone(&self, id: &str, version: EntryVersion) -> bool {
-        self.bygone.get(id).is_some_and(|newest| version <= *newest)
-    }
-
     fn list(
         &mut self,
         mut entry: UpstreamEntry,
         now: Instant,
     ) -> Option<RosterChange> {
-        let version = (entry.started_ms, entry.sequence);
         let id = entry.id.clone();
-        let known = self.versions.get(&id).copied();
-        if let Some((started_ms, sequence)) = known
-            && ((started_ms, sequence) > version
-                || self.is_bygone(&id, version))
-        {
+        let newer = self.history.newer_version(&entry);
+        if let Some((started_ms, sequence)) = newer {
             return Some(RosterChange::Outdated { id, started_ms, sequence });
         }
-        self.versions.insert(id.clone(), version);
+        self.history.record_version(&entry, now);
         self.remove_predecessors(&entry);
-        entry.is_leaving |= self.has_announced(&entry);
+        let started_ms = entry.started_ms;
+        let is_overruled =
+            !entry.is_leaving && self.history.has_announced(&entry);
+        entry.is_leaving |= is_overruled;
         if entry.is_leaving {
-            self.record_departure(&id, entry.started_ms, now);
+            self.history.record_departure(&id, started_ms, now);
         } else {
-            self.departed.remove(&id);
+            self.history.clear_departure(&id);
         }
         let fresh = RosterEntry { entry, retained_until: None };
         let before = self.entries.insert(id.clone(), fresh);
+        if is_overruled && before.is_none() {
+            return Some(RosterChange::Overruled { id, started_ms });
+        }
         let before = before.map(|known| known.entry);
         let after = self.entries.get(&id).map(|known| &known.entry);
         let is_same = is_same_state(before.as_ref(), after);
@@ -274,8 +263,8 @@
             return Some(RosterChange::Retained { id, until });
         }
         let known = self.entries.remove(&id)?;
-        self.announced.remove(&id);
-        self.record_departure(&id, known.entry.started_ms, now);
+        let started_ms = known.entry.started_ms;
+        self.history.record_departure(&id, started_ms, now);
         Some(RosterChange::Changed { id })
     }
 
@@ -315,7 +304,7 @@
     }
 }
 
-/// Returns whether two entries differ at most in their version.
+/// Returns whether two entries differ at most in their sequence number.
 fn is_same_state(
     before: Option<&UpstreamEntry>,
     after: Option<&UpstreamEntry>,
@@ -323,10 +312,7 @@
     let (Some(before), Some(after)) = (before, after) else {
         return before.is_none() && after.is_none();
     };
-    let with_same_version = UpstreamEntry {
-        sequence: before.sequence,
-        started_ms: before.started_ms,
-        ..after.clone()
-    };
-    with_same_version == *before
+    let renumbered =
+        UpstreamEntry { sequence: before.sequence, ..after.clone() };
+    renumbered == *before
 }
--- a/src/ports/peer.rs
+++ b/src/ports/peer.rs
@@ -181,6 +181,9 @@
     /// Start time of the upstream in milliseconds since the epoch. A later
     /// start with the same ID counts as another upstream.
     pub started_ms: u64,
+    /// Whether the upstream itself has said that it leaves. Otherwise its
+    /// registration was removed, and may come back.
+    pub is_announced: bool,
 }
 
 /// What a router has seen of requests with certain prompt parts.
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -249,6 +249,7 @@
                     vm: share.upstream,
                     service: (*service).to_owned(),
                     version: (*version).to_owned(),
+                    started_ms: 0,
                     share: share.slots,
                     limit,
                 });
--- a/src/routing/table/mod.rs
+++ b/src/routing/table/mod.rs
@@ -39,6 +39,9 @@
     pub service: String,
     /// The version it runs.
     pub version: String,
+    /// Start time in milliseconds since the epoch, which tells it from an
+    /// earlier one with the same name; 0 if it is not known.
+    pub started_ms: u64,
     /// Number of slots that this router owns there.
     pub share: u32,
     /// Its concurrency limit over all routers.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -129,6 +129,11 @@
     RegistrationOutdated = "registration_outdated" [
         "upstream", "known_started_ms", "known_sequence",
     ];
+    /// A registration offers an upstream that has said that it leaves, and
+    /// is passed over.
+    RegistrationOverruled = "registration_overruled" [
+        "upstream", "started_ms",
+    ];
     /// An address belongs to another upstream now.
     UpstreamMisplaced = "upstream_misplaced" ["upstream"];
     /// A version of the declarations is in force.
--- a/tests/gateway_policy.rs
+++ b/tests/gateway_policy.rs
@@ -22,7 +22,8 @@
             rendezvous_weight,
         },
         ports::{
-            UpstreamEntry, UpstreamEvent, VmEntry, VmList, VmRole, VmState,
+            UpstreamDeparture, UpstreamEntry, UpstreamEvent, VmEntry, VmList,
+            VmRole, VmState,
         },
         routing::{
             HealthChange, PlacementCandidate, PlacementHint, PrefixTraffic,
@@ -259,6 +260,121 @@
 /// Observed in an incident: four engines crashed and restarted at the same
 /// addresses while the registry was unreachable. Their old entries were kept
 /// for a while and got requests, which the new engines refused.
+/// What was learned of the departure of upstream `a`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DepartureNews {
+    /// It said so in an answer.
+    Answer,
+    /// Another router reports that it said so.
+    Report,
+    /// Another router reports that its registration was removed.
+    Removal,
+}
+
+impl DepartureNews {
+    fn apply(self, roster: &mut UpstreamRoster, now: Instant) {
+        if self == DepartureNews::Answer {
+            roster.announce_departure("a", 1_000, now);
+            return;
+        }
+        let departure = UpstreamDeparture {
+            upstream: "a".to_owned(),
+            started_ms: 1_000,
+            is_announced: self == DepartureNews::Report,
+        };
+        roster.apply_departure(&departure, now);
+    }
+}
+
+/// Lists upstream `a`; returns whether it is used then.
+fn is_used_after(
+    roster: &mut UpstreamRoster,
+    entry: UpstreamEntry,
+    now: Instant,
+) -> bool {
+    roster.begin_read(now, &OutageTracker::new());
+    roster.apply(UpstreamEvent::Listed(entry), now);
+    roster.usable().any(|entry| entry.id == "a")
+}
+
+/// DRAIN: an upstream that had said that it leaves was used again when its
+/// registration came back: what it had said was forgotten with the entry, or
+/// not recorded without one. A registration that expired while its upstream
+/// lives has to be used again.
+#[yare::parameterized(
+    answer = { DepartureNews::Answer, true, true, false },
+    answer_behind_removal = { DepartureNews::Answer, false, true, false },
+    answer_before_any_entry = { DepartureNews::Answer, false, false, false },
+    report = { DepartureNews::Report, true, true, false },
+    report_behind_removal = { DepartureNews::Report, false, true, false },
+    report_before_any_entry = { DepartureNews::Report, false, false, false },
+    removal = { DepartureNews::Removal, true, true, true },
+    removal_before_any_entry = { DepartureNews::Removal, false, false, true },
+)]
+fn what_an_upstream_has_said_outlives_its_registration(
+    news: DepartureNews,
+    is_first: bool,
+    is_listed: bool,
+    is_used: bool,
+) {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let mut roster = UpstreamRoster::new();
+    if is_listed {
+        assert!(is_used_after(&mut roster, upstream("a", 1), start));
+    }
+    if is_first {
+        news.apply(&mut roster, at(1));
+    }
+    roster.apply(UpstreamEvent::Removed("a".to_owned()), at(2));
+    if !is_first {
+        news.apply(&mut roster, at(3));
+    }
+    // Late writes, one after another, with a removal behind each.
+    for second in 4..7 {
+        let late = upstream("a", second);
+        assert_eq!(is_used_after(&mut roster, late, at(second)), is_used);
+        roster.apply(UpstreamEvent::Removed("a".to_owned()), at(second));
+    }
+    // An odd entry of another writer changes nothing.
+    roster.apply(UpstreamEvent::Unreadable("a".to_owned()), at(7));
+    assert_eq!(is_used_after(&mut roster, upstream("a", 8), at(8)), is_used);
+    // Nor does a registry that was restored from a copy.
+    roster.apply(UpstreamEvent::RetainOnly(Vec::new()), at(9));
+    roster.apply(UpstreamEvent::Restored, at(9));
+    assert_eq!(is_used_after(&mut roster, upstream("a", 9), at(9)), is_used);
+    // A later start under the same ID is another upstream.
+    let restarted = UpstreamEntry { started_ms: 1_001, ..upstream("a", 1) };
+    assert!(is_used_after(&mut roster, restarted, at(10)));
+    // An answer of the one before arrives late.
+    roster.announce_departure("a", 1_000, at(11));
+    assert!(roster.usable().any(|entry| entry.id == "a"));
+}
+
+/// What is remembered of upstreams that are gone has a bound in time and in
+/// number; that of registered ones is kept.
+#[test]
+fn upstreams_that_have_left_long_ago_are_forgotten() {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let mut roster = UpstreamRoster::new();
+    let outage = OutageTracker::new();
+    roster.apply(UpstreamEvent::Listed(upstream("stays", 1)), start);
+    roster.announce_departure("stays", 1_000, start);
+    for number in 0..10_000 {
+        let id = format!("left-{number:05}");
+        roster.announce_departure(&id, 1_000, start);
+    }
+    roster.begin_read(at(20), &outage);
+    assert_eq!(roster.remembered_count(), 2_049);
+    roster.begin_read(at(599), &outage);
+    assert_eq!(roster.remembered_count(), 2_049);
+    roster.begin_read(at(620), &outage);
+    assert_eq!(roster.remembered_count(), 1);
+    roster.apply(UpstreamEvent::Listed(upstream("stays", 2)), at(620));
+    assert_eq!(roster.usable().count(), 0);
+}
+
 #[test]
 fn an_address_belongs_to_the_upstream_that_started_last() {
     let start = Instant::now();
--- a/tests/queue_cost.rs
+++ b/tests/queue_cost.rs
@@ -33,6 +33,7 @@
         domain: format!("z-{}", number % 7),
         service: "chat".to_owned(),
         version: "v1".to_owned(),
+        started_ms: 0,
         share: SHARE,
         limit: u32::MAX,
     }
