Gateway: serve and dispatch depend on progress, not on each other

Cause: serve starts a dispatch, and dispatch and answer used the two types that serve defined. Change: CallEnd and CallProgress have a module of their own. No behaviour.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -11,8 +11,8 @@
     attempt::CallAttempt,
     dispatch::{CallDispatch, NextStep, upstream_error},
     moves::EvidenceKey,
+    progress::CallEnd,
     relay::{EventRelay, RelayEnd},
-    serve::CallEnd,
 };
 use crate::{
     adapters::http::{HttpFault, HttpResponder},
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -13,8 +13,8 @@
 use super::{
     CallRequest, GatewayCore,
     attempt::{AttemptStart, CallAttempt},
+    progress::{CallEnd, CallProgress},
     relay::StreamPosition,
-    serve::{CallEnd, CallProgress},
 };
 use crate::{
     adapters::http::HttpResponder,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //!   disconnect of its caller.
 //! * `dispatch` finds an upstream that answers the request: token
 //!   reservation, admission and attempts.
+//! * `progress` is what both know of the request and of its end.
 //! * `attempt` sends a request to one upstream.
 //! * `answer` forwards the answer, and `relay` copies an event stream to a
 //!   caller.
@@ -55,6 +56,7 @@
 mod patience;
 mod peers;
 mod process;
+mod progress;
 mod relay;
 mod request;
 mod serve;
