BUDGET: a pause that an upstream asked for outlives its registration

Callers saw: nothing of their own; an upstream in need got a request within the pause that it had asked for.

Cause: the pause was kept with the place of the upstream in the table, which goes with its registration, and a late write brings that back.

A removed one does not count as a free slot any more when a queue is served.

--- a/src/routing/table/entry.rs
+++ b/src/routing/table/entry.rs
@@ -56,6 +56,13 @@
             && !queued.excluded.contains(&self.upstream.vm)
     }
 
+    /// Returns whether the upstream is removed and nothing is left to know of
+    /// it. The pause that it has asked for holds if it comes back.
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        let is_paused = self.cooldown_until.is_some_and(|until| until > now);
+        self.removed && self.in_progress == 0 && !is_paused
+    }
+
     pub(super) fn is_free(&self, queued: &QueuedRequest) -> bool {
         if self.in_progress >= self.upstream.share {
             return false;
--- a/src/routing/table/state.rs
+++ b/src/routing/table/state.rs
@@ -76,7 +76,8 @@
             entry.removed = false;
             entry.upstream = upstream.clone();
         }
-        self.upstreams.retain(|_, e| !e.removed || e.in_progress > 0);
+        let now = Instant::now();
+        self.upstreams.retain(|_, entry| !entry.is_over(now));
     }
 
     pub(super) fn record_prefix(&mut self, queued: &QueuedRequest) {
@@ -299,7 +300,8 @@
     /// Returns whether any upstream of a service has an unclaimed slot.
     fn has_slot(&self, service: &str) -> bool {
         self.upstreams.values().any(|entry| {
-            entry.in_progress < entry.upstream.share
+            !entry.removed
+                && entry.in_progress < entry.upstream.share
                 && entry.upstream.service == service
         })
     }
@@ -344,7 +346,7 @@
         if slot.is_draft {
             entry.drafts -= 1;
         }
-        if entry.removed && entry.in_progress == 0 {
+        if entry.is_over(Instant::now()) {
             self.upstreams.remove(&slot.upstream.vm);
         }
     }
