Allowance: the ledger in four modules

Change: reports of other routers, loans, and the records to append have modules of their own below book. Every line of the old file stands in the new ones, but for imports and the visibility of apply_told.

--- a/src/allowance/book.rs
+++ b/src/allowance/book/mod.rs
@@ -1,4 +1,12 @@
 //! The records of all VMs, and this VM's usage of each account.
+//!
+//! * `reports` is what routers tell each other of their records.
+//! * `lending` moves tokens from VM to VM.
+//! * `claims` computes the records to append.
+
+mod claims;
+mod lending;
+mod reports;
 
 use std::{
     collections::BTreeMap,
@@ -14,20 +22,10 @@
     stored::StoredRecord,
 };
 use crate::{
-    ports::{AccountAllowance, KeyedRecord, LendRequest, TopicPosition},
+    ports::{KeyedRecord, TopicPosition},
     telemetry::note_unreadable,
 };
 
-/// A loan is at least this many times the size of the waiting request.
-const LOAN_SIZE_FACTOR: u64 = 4;
-
-/// Time in a new era of the topic in which nobody claims more, so that all
-/// routers can write their records again.
-const ERA_SETTLE_TIME: Duration = Duration::from_secs(2);
-
-/// A loan covers the expected demand within this fraction of the horizon.
-const LOAN_HORIZON_DIVISOR: u64 = 4;
-
 /// The incarnation of a VM that wrote last, to any account.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LastWriter {
@@ -76,7 +74,7 @@
 ///
 /// A topic that was restored from a copy has lost claims whose tokens may be
 /// spent. Each router then writes its records again, and claims nothing until
-/// the others have done so or [`ERA_SETTLE_TIME`] is over. What a router does
+/// the others have done so or a settling time is over. What a router does
 /// not write again counts with the most that is known of it here.
 #[derive(Debug)]
 pub struct AllowanceLedger {
@@ -149,94 +147,6 @@
         self.unconfirmed.records.clear();
     }
 
-    /// Takes over what a VM has reported of its record for an account.
-    ///
-    /// It counts only once the topic has begun a later era, in which the
-    /// record may be lost.
-    pub fn learn(&mut self, account: &str, vm: &str, told: AllowanceRecord) {
-        let key = (account.to_owned(), vm.to_owned());
-        let known = self.told.get(&key).copied().unwrap_or(told);
-        let is_later = (told.era, told.incarnation, told.taken)
-            >= (known.era, known.incarnation, known.taken);
-        let newest = if is_later { told } else { known };
-        self.told.insert(key, newest);
-        self.apply_told(account, vm, newest);
-    }
-
-    fn apply_told(&mut self, account: &str, vm: &str, told: AllowanceRecord) {
-        self.summaries.clear();
-        let era = self.cursor.era;
-        if told.era >= era || told.incarnation == self.incarnation {
-            return;
-        }
-        if vm == self.vm {
-            self.cover_predecessor(account, told);
-            return;
-        }
-        let all = self.records.entry(account.to_owned()).or_default();
-        let stored = all.entry(vm.to_owned()).or_insert_with(|| {
-            let nothing = AllowanceRecord { taken: 0, ..told };
-            let position = TopicPosition { era: told.era, offset: 0 };
-            StoredRecord::new(nothing, position)
-        });
-        stored.learn(told, era);
-    }
-
-    /// Counts as lost what an earlier incarnation of this VM had taken beyond
-    /// the record of it that was read.
-    fn cover_predecessor(&mut self, account: &str, told: AllowanceRecord) {
-        let Some(began_at) = self.era_began_at else {
-            return;
-        };
-        let baseline = &mut self.usage_mut(account, began_at).baseline;
-        let missing = told.taken.saturating_sub(baseline.taken);
-        baseline.taken += missing;
-        baseline.lost += missing;
-    }
-
-    /// Returns this VM's records as they would be written now.
-    pub fn own_records(&self) -> Vec<(String, AllowanceRecord)> {
-        let writer = RecordWriter {
-            incarnation: self.incarnation,
-            era: self.cursor.era,
-        };
-        let mut records = Vec::new();
-        for (account, usage) in &self.usage {
-            let record = usage.record(writer, usage.limit, 0);
-            if record.taken > 0 {
-                records.push((account.clone(), record));
-            }
-        }
-        records
-    }
-
-    /// Returns what is known here of the records of `asking_vm`, and of those
-    /// that have not been written again in this era.
-    pub fn known_records(&self, asking_vm: &str) -> Vec<AccountAllowance> {
-        let mut known = Vec::new();
-        for (account, all) in &self.records {
-            for (vm, stored) in all {
-                let is_lost = stored.record.era < self.cursor.era;
-                let is_missed = vm == asking_vm && stored.uncovered > 0;
-                if vm != asking_vm && !is_lost {
-                    continue;
-                }
-                let mut record = stored.record;
-                record.taken += stored.reported + stored.uncovered;
-                if is_missed {
-                    // What the topic holds of the VM lacks this.
-                    record.era = record.era.saturating_sub(1);
-                }
-                known.push(AccountAllowance {
-                    account: account.clone(),
-                    vm: vm.clone(),
-                    record: record.encode(),
-                });
-            }
-        }
-        known
-    }
-
     /// Loads the newest record of each key.
     ///
     /// The records are not a consistent snapshot. Claims are granted only
@@ -492,161 +402,4 @@
             usage.waiting.swap_remove(index);
         }
     }
-
-    /// Transfers available tokens to another VM for good and returns how
-    /// many.
-    ///
-    /// They count as lent from now on, whether or not the answer arrives. A
-    /// repeated call gets the same answer.
-    pub fn lend(&mut self, request: &LendRequest) -> u64 {
-        let LendRequest { budget, min_tokens, wanted_tokens, .. } = request;
-        if let Some(known) = self.loans.get(request) {
-            return known;
-        }
-        let available = self.available(budget);
-        if available < *min_tokens {
-            return 0;
-        }
-        // Half stays for this VM's requests, unless the borrower needs more.
-        let tokens = (*wanted_tokens).min(available / 2).max(*min_tokens);
-        if let Some(usage) = self.usage.get_mut(budget) {
-            usage.lent += tokens;
-            self.loans.record(request, tokens);
-        }
-        tokens
-    }
-
-    /// Cancels a loan whose answer did not reach the borrower and returns its
-    /// tokens.
-    ///
-    /// If the call that asked for the loan is still under way, it will get
-    /// nothing.
-    pub fn cancel_loan(&mut self, request: &LendRequest) -> u64 {
-        let tokens = self.loans.get(request).unwrap_or(0);
-        if let Some(usage) = self.usage.get_mut(&request.budget) {
-            usage.lent -= tokens;
-        }
-        self.loans.record(request, 0);
-        tokens
-    }
-
-    /// Returns how many tokens to borrow for a request of `tokens`, so that
-    /// those that follow need no loan of their own.
-    pub fn loan_size(
-        &mut self,
-        account: &str,
-        tokens: u64,
-        now: Instant,
-    ) -> u64 {
-        let demand = self.usage_mut(account, now).demand.target(now);
-        let ahead = demand / LOAN_HORIZON_DIVISOR;
-        ahead.max(tokens.saturating_mul(LOAN_SIZE_FACTOR))
-    }
-
-    /// Adds tokens that another VM has lent.
-    pub fn add_borrowed(&mut self, account: &str, tokens: u64, now: Instant) {
-        self.usage_mut(account, now).borrowed += tokens;
-    }
-
-    /// Returns the records to append now. As long as earlier ones are
-    /// unconfirmed, these are returned again.
-    ///
-    /// A lowered limit takes effect at once, a raised one when its record is
-    /// read back.
-    pub fn next_batch(
-        &mut self,
-        prepaid: &BTreeMap<String, u64>,
-        routers: u64,
-        now: Instant,
-    ) -> AllowanceBatch {
-        if self.has_unconfirmed() {
-            return self.unconfirmed.clone();
-        }
-        let accounts: Vec<String> = self.usage.keys().cloned().collect();
-        for account in accounts {
-            // An account without a prepaid total needs no record, and one
-            // that is no longer declared gets no new tokens.
-            let Some(prepaid) = prepaid.get(&account).copied() else {
-                continue;
-            };
-            let free = self.balance(&account, prepaid).free;
-            let totals = AccountTotals {
-                prepaid,
-                free,
-                spent: self.known_spent(&account),
-                others_want: self.wanted_by_others(&account) > free,
-                routers,
-            };
-            let is_settling = self.is_settling(&account, now);
-            let Some(usage) = self.usage.get_mut(&account) else {
-                continue;
-            };
-            let (limit, wanted) = usage.next_limit(&totals, now);
-            let limit =
-                if is_settling { limit.min(usage.limit) } else { limit };
-            self.add_unconfirmed(account, limit, wanted);
-        }
-        self.unconfirmed.clone()
-    }
-
-    /// Returns records that give back every token that no request in progress
-    /// needs. Earlier unconfirmed records are returned first, alone.
-    pub fn release_batch(&mut self) -> AllowanceBatch {
-        if self.has_unconfirmed() {
-            return self.unconfirmed.clone();
-        }
-        let accounts: Vec<String> = self.usage.keys().cloned().collect();
-        for account in accounts {
-            let limit = self.usage[&account].min_limit();
-            self.add_unconfirmed(account, limit, 0);
-        }
-        self.unconfirmed.clone()
-    }
-
-    /// Adds a record with a new limit to the unconfirmed ones, unless it would
-    /// change nothing.
-    fn add_unconfirmed(&mut self, account: String, limit: u64, wanted: u64) {
-        let stored = self.own_record(&account);
-        let Some(usage) = self.usage.get_mut(&account) else {
-            return;
-        };
-        let writer = RecordWriter {
-            incarnation: self.incarnation,
-            era: self.cursor.era,
-        };
-        let record = usage.record(writer, limit, wanted);
-        usage.limit = usage.limit.min(limit);
-        let is_unused = stored.is_none() && record.taken == 0 && wanted == 0;
-        let is_unchanged = stored.is_some_and(|stored| {
-            let is_earlier = stored.incarnation != record.incarnation;
-            let is_idle = is_earlier && limit == 0 && wanted == 0;
-            stored == record || is_idle && stored.era == record.era
-        });
-        if !is_unused && !is_unchanged {
-            self.unconfirmed.records.push((account, record));
-        }
-    }
-
-    /// Returns whether claims on an account have to wait, because other
-    /// routers may not have written their records again in this era.
-    fn is_settling(&self, account: &str, now: Instant) -> bool {
-        let began_at = self.era_began_at;
-        let is_recent = began_at.is_some_and(|at| {
-            now.saturating_duration_since(at) < ERA_SETTLE_TIME
-        });
-        let era = self.cursor.era;
-        let stored = self.records.get(account).into_iter().flatten();
-        let mut others = stored.filter(|(vm, _)| **vm != self.vm);
-        is_recent && others.any(|(_, stored)| stored.record.era < era)
-    }
-
-    /// Whether some of this VM's records have not been read back yet.
-    pub fn has_unconfirmed(&self) -> bool {
-        !self.unconfirmed.records.is_empty()
-    }
-
-    /// Drops unconfirmed records that were certainly not appended.
-    pub fn discard_unconfirmed(&mut self) {
-        self.unconfirmed.records.clear();
-    }
 }
