--- a/src/adapters/http/frame.rs
+++ b/src/adapters/http/frame.rs
@@ -12,6 +12,9 @@
 /// The end of a line.
 pub(super) const LINE_END: &[u8] = b"\r\n";
 
+/// Maximum number of trailers of a body.
+const MAX_TRAILERS: usize = 64;
+
 /// Why bytes are not a part of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub(super) enum FrameFault {
@@ -156,9 +159,6 @@
 /// Checks that a block of lines holds valid header lines, and nothing behind
 /// its end.
 pub(super) fn check_trailers(block: &[u8]) -> Result<(), FrameFault> {
-    /// Maximum number of trailers.
-    const MAX_TRAILERS: usize = 64;
-
     let mut trailers = [httparse::EMPTY_HEADER; MAX_TRAILERS];
     match httparse::parse_headers(block, &mut trailers) {
         Ok(httparse::Status::Complete((end, _))) if end == block.len() => {
